--- /dev/null
+++ b/classifier/retry.go
@@ -0,0 +1,18 @@
+package classifier
+
+// RetryReason names why an attempt is repeated.
+type RetryReason string
+
+// The reasons for a retry. Only attempts that are idempotent, or that surely did not start, are repeated.
+const (
+	RetryConnectFailed   RetryReason = "connect-failed"
+	RetryEndpointRefused RetryReason = "endpoint-refused"
+	RetryStreamBroken    RetryReason = "stream-broken"
+	RetryEndpointLeaving RetryReason = "endpoint-leaving"
+	RetryHedged          RetryReason = "hedged"
+)
+
+// RetryReasons returns every reason.
+func RetryReasons() []RetryReason {
+	return []RetryReason{RetryConnectFailed, RetryEndpointRefused, RetryStreamBroken, RetryEndpointLeaving, RetryHedged}
+}
--- /dev/null
+++ b/decider/event.go
@@ -0,0 +1,113 @@
+// Package decider is the decision core: it decides which requests to admit, in which order and on
+// which endpoint. It is pure: time and news are passed in as values, decisions come out as values.
+// One goroutine owns a Core; the package starts none and does no I/O.
+package decider
+
+import (
+	"time"
+
+	"apricotspool/classifier"
+	"apricotspool/namer"
+)
+
+// Request is a request that waits for a decision.
+type Request struct {
+	ID      namer.StreamID
+	Caller  namer.Caller
+	Service namer.Service
+	Model   namer.Model // empty for plain services
+	Rank    namer.Rank
+	// Idempotent requests may be attempted again after a failure.
+	Idempotent   bool
+	PromptTokens namer.Tokens
+	// MaxTokens is the caller's limit on the output; 0 means the model's context.
+	MaxTokens namer.Tokens
+	// Prefix holds the hashes of the prompt's leading blocks of PrefixBlock tokens, each over all
+	// tokens up to its end, so that equal hashes mean equal prefixes.
+	Prefix   []uint64
+	Deadline time.Time
+}
+
+// PrefixBlock is the length of one prompt block that engines cache, in tokens.
+const PrefixBlock namer.Tokens = 256
+
+// EventKind names what happened.
+type EventKind int
+
+// The kinds of events that a Core observes.
+const (
+	// EventStarted reports the first token or first byte of an attempt.
+	EventStarted EventKind = iota
+	// EventFinished reports that an attempt has delivered its whole answer.
+	EventFinished
+	// EventFailed reports that an attempt failed; Reason says how and whether it may be repeated.
+	EventFailed
+	// EventCancelled reports that the caller is gone; the request is forgotten.
+	EventCancelled
+	// EventLoad reports the load of an endpoint at an earlier time.
+	EventLoad
+	// EventCache reports prefix blocks that an engine has added or dropped.
+	EventCache
+	// EventHealth reports that an endpoint was found reachable or unreachable outside a request.
+	EventHealth
+)
+
+// Event is news for a Core. Only the fields of its kind are set.
+type Event struct {
+	Kind     EventKind
+	Request  namer.StreamID
+	Attempt  namer.Attempt
+	Endpoint namer.Endpoint
+
+	OutputTokens namer.Tokens           // EventFinished: tokens generated; EventFailed: tokens delivered before
+	Reason       classifier.RetryReason // EventFailed
+	// NotRun says that the endpoint surely did not execute the failed attempt.
+	NotRun bool
+
+	Load Load // EventLoad
+
+	Added, Dropped []uint64 // EventCache
+	Reset          bool     // EventCache: a gap or restart; what was known of this cache is void
+
+	Healthy bool // EventHealth
+}
+
+// Load is an endpoint's own report of its load.
+type Load struct {
+	At             time.Time // when the figures were taken, on the daemon's clock
+	Running        int
+	Waiting        int
+	WaitingPrefill namer.Tokens
+	KVUsed         float64
+	Role           namer.Role
+	// Leaving endpoints get no new work.
+	Leaving bool
+}
+
+// ActionKind names a decision.
+type ActionKind int
+
+// The kinds of actions that a Core returns.
+const (
+	// ActionDispatch sends a request to an endpoint now.
+	ActionDispatch ActionKind = iota
+	// ActionRefuse answers the request with Outcome now.
+	ActionRefuse
+	// ActionCancel stops an attempt at its endpoint; another attempt has taken its place.
+	ActionCancel
+)
+
+// Action is a decision that the owner of a Core carries out.
+type Action struct {
+	Kind     ActionKind
+	Request  namer.StreamID
+	Attempt  namer.Attempt
+	Endpoint namer.Endpoint // ActionDispatch: where the request runs; ActionCancel: where it stops
+	// Prefill is set when the prompt is processed on another engine first and its KV cache is moved to Endpoint.
+	Prefill    namer.Endpoint
+	Priority   int // for the engine; 0 is the most urgent
+	Outcome    classifier.Outcome
+	RetryAfter time.Duration
+	// Retry names why a dispatch repeats an earlier attempt; empty for the first.
+	Retry classifier.RetryReason
+}
--- /dev/null
+++ b/imitator/store.go
@@ -0,0 +1,220 @@
+// Package imitator holds fakes of the platform: object API, host list, model engine, plain service
+// and weight store. The dev command, the standin program and tests use it; no other package knows it.
+package imitator
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"apricotspool/storer"
+)
+
+// DefaultWatchLimit is how long a watch of the fake waits before it returns an empty list.
+const DefaultWatchLimit = 20 * time.Second
+
+// Store is an object API in memory. It implements storer.Store directly; StoreHandler serves it over HTTP.
+type Store struct {
+	WatchLimit time.Duration // 0 means DefaultWatchLimit
+
+	// Fault is called before each call, if set, and decides how the call goes wrong. Set it before use;
+	// it is called without locks held, so that it may block.
+	Fault func(ctx context.Context, kind, key string) Fault
+
+	mu      sync.Mutex // guards the fields below; held only for map operations
+	objects map[string]storer.Object
+	deleted map[string]storer.Version
+	last    storer.Version
+	changed chan struct{} // closed and replaced at each write
+	calls   map[string]int
+}
+
+// Fault says how one call to the fake store goes wrong.
+type Fault struct {
+	Err  error // returned instead of an answer, without effect
+	Lost error // returned after the write has taken effect
+}
+
+var _ storer.Store = (*Store)(nil)
+
+func (s *Store) lock() {
+	s.mu.Lock()
+	if s.objects == nil {
+		s.objects = map[string]storer.Object{}
+		s.deleted = map[string]storer.Version{}
+		s.changed = make(chan struct{})
+		s.calls = map[string]int{}
+	}
+}
+
+func (s *Store) fault(ctx context.Context, kind, key string) Fault {
+	s.lock()
+	s.calls[kind]++
+	s.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return Fault{Err: storer.ErrUnavailable}
+	}
+	if s.Fault == nil {
+		return Fault{}
+	}
+	return s.Fault(ctx, kind, key)
+}
+
+// Calls returns the number of calls by kind.
+func (s *Store) Calls() map[string]int {
+	s.lock()
+	defer s.mu.Unlock()
+	counts := make(map[string]int, len(s.calls))
+	for kind, n := range s.calls {
+		counts[kind] = n
+	}
+	return counts
+}
+
+// Get returns the newest version of an object.
+func (s *Store) Get(ctx context.Context, key string) (storer.Object, error) {
+	if f := s.fault(ctx, "get", key); f.Err != nil || f.Lost != nil {
+		return storer.Object{}, firstError(f.Err, f.Lost)
+	}
+	s.lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return storer.Object{}, storer.ErrNotFound
+	}
+	return copied(object), nil
+}
+
+// Put writes an object if its version is still expect.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expect storer.Version) (storer.Object, error) {
+	f := s.fault(ctx, "put", key)
+	if f.Err != nil {
+		return storer.Object{}, f.Err
+	}
+	if len(value) > storer.MaxValueBytes || len(key) > storer.MaxKeyBytes {
+		return storer.Object{}, storer.ErrTooLarge
+	}
+	s.lock()
+	defer s.mu.Unlock()
+	if s.objects[key].Version != expect {
+		return storer.Object{}, firstError(f.Lost, storer.ErrConflict)
+	}
+	s.last++
+	object := storer.Object{Key: key, Version: s.last, Value: bytes.Clone(value)}
+	s.objects[key] = object
+	delete(s.deleted, key)
+	s.wake()
+	if f.Lost != nil {
+		return storer.Object{}, f.Lost
+	}
+	return copied(object), nil
+}
+
+// Delete removes an object if its version is still expect.
+func (s *Store) Delete(ctx context.Context, key string, expect storer.Version) error {
+	f := s.fault(ctx, "delete", key)
+	if f.Err != nil {
+		return f.Err
+	}
+	s.lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return firstError(f.Lost, storer.ErrNotFound)
+	}
+	if object.Version != expect {
+		return firstError(f.Lost, storer.ErrConflict)
+	}
+	s.last++
+	delete(s.objects, key)
+	s.deleted[key] = s.last
+	s.wake()
+	return f.Lost
+}
+
+// List returns objects below prefix after a key.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]storer.Object, error) {
+	if f := s.fault(ctx, "list", prefix); f.Err != nil || f.Lost != nil {
+		return nil, firstError(f.Err, f.Lost)
+	}
+	s.lock()
+	defer s.mu.Unlock()
+	var found []storer.Object
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, copied(object))
+		}
+	}
+	slices.SortFunc(found, func(a, b storer.Object) int { return strings.Compare(a.Key, b.Key) })
+	if limit > 0 && len(found) > limit {
+		found = found[:limit]
+	}
+	return found, nil
+}
+
+// Watch waits for objects below prefix that are newer than since.
+func (s *Store) Watch(ctx context.Context, prefix string, since storer.Version) ([]storer.Object, error) {
+	if f := s.fault(ctx, "watch", prefix); f.Err != nil || f.Lost != nil {
+		return nil, firstError(f.Err, f.Lost)
+	}
+	limit := s.WatchLimit
+	if limit == 0 {
+		limit = DefaultWatchLimit
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for {
+		found, changed := s.newer(prefix, since)
+		if len(found) > 0 {
+			return found, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, storer.ErrUnavailable
+		case <-timer.C:
+			return nil, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *Store) newer(prefix string, since storer.Version) ([]storer.Object, <-chan struct{}) {
+	s.lock()
+	defer s.mu.Unlock()
+	var found []storer.Object
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) && object.Version > since {
+			found = append(found, copied(object))
+		}
+	}
+	for key, version := range s.deleted {
+		if strings.HasPrefix(key, prefix) && version > since {
+			found = append(found, storer.Object{Key: key, Version: version, Deleted: true})
+		}
+	}
+	slices.SortFunc(found, func(a, b storer.Object) int { return int(a.Version) - int(b.Version) })
+	return found, s.changed
+}
+
+// wake lets all watches look again. The caller holds the lock.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func copied(o storer.Object) storer.Object {
+	o.Value = bytes.Clone(o.Value)
+	return o
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/recorder/metrics.go
@@ -0,0 +1,62 @@
+package recorder
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"apricotspool/classifier"
+	"apricotspool/namer"
+)
+
+// Metrics is the set of metrics of one daemon. Several daemons can live in one process, each with its own set.
+type Metrics struct {
+	set *metrics.Set
+}
+
+// NewMetrics returns a set in which every outcome and retry reason is present with zero.
+func NewMetrics() *Metrics {
+	m := &Metrics{set: metrics.NewSet()}
+	for _, outcome := range classifier.Outcomes() {
+		m.outcome(outcome)
+	}
+	for _, reason := range classifier.RetryReasons() {
+		m.retry(reason)
+	}
+	return m
+}
+
+func (m *Metrics) outcome(o classifier.Outcome) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`apricotspool_outcomes_total{outcome=%q}`, string(o)))
+}
+
+func (m *Metrics) retry(r classifier.RetryReason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`apricotspool_retries_total{reason=%q}`, string(r)))
+}
+
+// Outcome counts the end of one request.
+func (m *Metrics) Outcome(o classifier.Outcome) { m.outcome(o).Inc() }
+
+// Retry counts one repeated attempt.
+func (m *Metrics) Retry(r classifier.RetryReason) { m.retry(r).Inc() }
+
+// FirstToken records the time from acceptance to the first byte of the answer.
+func (m *Metrics) FirstToken(rank namer.Rank, d time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`apricotspool_first_token_seconds{rank=%q}`, string(rank))).Update(d.Seconds())
+}
+
+// BetweenTokens records the time between two chunks of one answer.
+func (m *Metrics) BetweenTokens(rank namer.Rank, d time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`apricotspool_between_tokens_seconds{rank=%q}`, string(rank))).Update(d.Seconds())
+}
+
+// Counter returns a counter by its full name with labels, for parts with metrics of their own.
+func (m *Metrics) Counter(name string) *metrics.Counter { return m.set.GetOrCreateCounter(name) }
+
+// Gauge registers a gauge whose value is read when the metrics are written.
+func (m *Metrics) Gauge(name string, value func() float64) { m.set.GetOrCreateGauge(name, value) }
+
+// Write writes the metrics in the Prometheus text format.
+func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
