--- a/configurer/check.go
+++ b/configurer/check.go
@@ -46,6 +46,10 @@
 	if err := document.Check().Err(); err != nil {
 		return nil, err
 	}
+	for name, caller := range document.Callers {
+		caller.TokenSHA256 = strings.ToLower(caller.TokenSHA256)
+		document.Callers[name] = caller
+	}
 	return document, nil
 }
 
