Add gossiper, lister, messenger and a first distributor

Cause: daemons need membership, loads, notices on leaving endpoints and new configuration versions from each other.

--- /dev/null
+++ b/gossiper/gossiper_test.go
@@ -0,0 +1,209 @@
+package gossiper_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"apricotspool/configurer"
+	"apricotspool/gossiper"
+	"apricotspool/imitator"
+	"apricotspool/lister"
+	"apricotspool/messenger"
+	"apricotspool/namer"
+	"apricotspool/recorder"
+)
+
+// wire carries messages between gossipers of one process.
+type wire struct {
+	network *imitator.Network
+	from    netip.AddrPort
+	peers   map[netip.AddrPort]*gossiper.Gossiper
+}
+
+func (w wire) Exchange(ctx context.Context, to netip.AddrPort, message *gossiper.Exchange) (reply *gossiper.Reply, err error) {
+	err = w.network.Carry(ctx, w.from, to, func() error { reply, err = w.peers[to].Exchange(ctx, message); return err })
+	return reply, err
+}
+
+func (w wire) AnnounceLeaving(ctx context.Context, to netip.AddrPort, message *gossiper.Notices) (ack *gossiper.Ack, err error) {
+	err = w.network.Carry(ctx, w.from, to, func() error {
+		if other, ok := w.peers[to]; ok {
+			ack, err = other.AnnounceLeaving(ctx, message)
+		}
+		return err
+	})
+	return ack, err
+}
+
+type fixed struct{ snapshot *configurer.Snapshot }
+
+func (f fixed) Snapshot() *configurer.Snapshot { return f.snapshot }
+
+// endpoints answers polls with the state that tests set.
+type endpoints struct {
+	mu      sync.Mutex // guards leaving
+	leaving map[namer.Endpoint]bool
+}
+
+func (e *endpoints) Poll(_ context.Context, d gossiper.Duty) (gossiper.Load, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return gossiper.Load{Running: 1, Leaving: e.leaving[d.Endpoint]}, nil
+}
+
+func (e *endpoints) set(name namer.Endpoint, leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = map[namer.Endpoint]bool{name: leaving}
+}
+
+// daemons runs gossipers in the virtual time of the calling bubble until the test ends.
+func daemons(t *testing.T, n, centres int, network *imitator.Network, poller gossiper.Poller, hosts lister.Lister, prepare func(*gossiper.Gossiper)) (all []*gossiper.Gossiper, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	peers := map[netip.AddrPort]*gossiper.Gossiper{}
+	s := snapshot(t, 1, centres, 2*n)
+	var running sync.WaitGroup
+	for i := range n {
+		g := &gossiper.Gossiper{
+			Self: peer(i, centres), Incarnation: namer.NewIncarnation(time.Now()), Seeds: []netip.AddrPort{address(0), address(1), address(2)},
+			Transport: wire{network, address(i), peers}, Configuration: fixed{s}, Poller: poller, Hosts: hosts,
+			Random: uint64(i), Metrics: recorder.NewMetrics(), Log: zerolog.Nop(),
+		}
+		prepare(g)
+		peers[address(i)] = g
+		all = append(all, g)
+	}
+	for _, g := range all {
+		running.Go(func() { g.Run(ctx) })
+	}
+	return all, func() { cancel(); running.Wait() }
+}
+
+// knownAfter returns the time until all gossipers know that an endpoint leaves, or the limit.
+func knownAfter(all []*gossiper.Gossiper, s *configurer.Snapshot, name namer.Endpoint, limit time.Duration) time.Duration {
+	const step = 5 * time.Millisecond
+	for passed := time.Duration(0); passed < limit; passed += step {
+		known := 0
+		for _, g := range all {
+			if g.View().Leaving(s, name) {
+				known++
+			}
+		}
+		if known == len(all) {
+			return passed
+		}
+		time.Sleep(step)
+	}
+	return limit
+}
+
+// Guards against an endpoint that gets new work more than 3 s after it was found leaving (P7). With
+// the push alone a lost message leaves daemons out; with the exchange alone it takes rounds.
+func TestLeavingEndpointIsKnownEverywhere(t *testing.T) {
+	nothing := func(*gossiper.Gossiper) {}
+	for _, c := range []struct {
+		name    string
+		loss    float64
+		prepare func(*gossiper.Gossiper)
+		holds   func(time.Duration) bool
+	}{
+		{"all mechanisms", 0, nothing, func(d time.Duration) bool { return d < 100*time.Millisecond }},
+		{"all mechanisms, a third of messages lost", 0.33, nothing, func(d time.Duration) bool { return d < 3*time.Second }},
+		{"exchange alone", 0, (*gossiper.Gossiper).WithoutPush, func(d time.Duration) bool { return d > 500*time.Millisecond && d < 20*time.Second }},
+		{"push alone, all messages lost at first", 1, (*gossiper.Gossiper).WithoutExchange, func(d time.Duration) bool { return d == 30*time.Second }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				network := &imitator.Network{Delay: time.Millisecond, Seed: 5}
+				all, stop := daemons(t, 24, 3, network, &endpoints{}, nil, c.prepare)
+				defer stop()
+				time.Sleep(20 * time.Second)
+				network.Lose(c.loss)
+				all[7].Announce(t.Context(), endpoint(3), true)
+				if c.loss == 1 {
+					time.Sleep(time.Second)
+					network.Lose(0)
+				}
+				took := knownAfter(all, snapshot(t, 1, 3, 48), endpoint(3), 30*time.Second)
+				t.Log("known everywhere after", took)
+				is.True(c.holds(took))
+			})
+		})
+	}
+}
+
+// Guards against an endpoint's own state or a host list that does not reach the daemons through the
+// daemons that poll and read, and against a stale list that overrides the endpoint.
+func TestLeavingIsFoundByPollAndHostList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts := &imitator.Hosts{Lag: 10 * time.Second}
+		hosts.Set([]lister.Host{{Name: "e", Address: address(10_001).Addr(), State: lister.Live}})
+		poller := &endpoints{}
+		all, stop := daemons(t, 6, 2, &imitator.Network{Delay: time.Millisecond}, poller, hosts, func(*gossiper.Gossiper) {})
+		defer stop()
+		s := snapshot(t, 1, 2, 12)
+		time.Sleep(20 * time.Second)
+		poller.set(endpoint(1), true) // the list still says that its host is live
+		is.True(knownAfter(all, s, endpoint(1), 10*time.Second) < gossiper.PollPeriod+time.Second)
+		poller.set(endpoint(1), false)
+		time.Sleep(5 * time.Second)
+		is.True(!all[0].View().Leaving(s, endpoint(1)))
+		hosts.Set([]lister.Host{{Name: "e", Address: address(10_001).Addr(), State: lister.Leaving}})
+		is.True(knownAfter(all, s, endpoint(1), 20*time.Second) < 13*time.Second) // 10 s of lag, then at most 3 s
+		is.Equal(len(all[0].View().Loads), 6)
+	})
+}
+
+// Guards against a daemon that shuts down and keeps its duties until it is suspected.
+func TestLeavingDaemonGivesUpItsDutiesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all, stop := daemons(t, 4, 1, &imitator.Network{Delay: time.Millisecond}, &endpoints{}, nil, func(*gossiper.Gossiper) {})
+		defer stop()
+		time.Sleep(10 * time.Second)
+		all[2].Leave(t.Context())
+		for _, g := range all {
+			is.Equal(len(g.View().Live()), 3)
+		}
+	})
+}
+
+// Guards against messages that don't survive the way over HTTP, and bounds what one exchange costs there.
+func TestExchangeOverHTTP(t *testing.T) {
+	is := is.New(t)
+	s := snapshot(t, 1, 1, 4)
+	far := &gossiper.Gossiper{Self: peer(1, 1), Incarnation: 1, Transport: wire{network: &imitator.Network{}}, Configuration: fixed{s}, Metrics: recorder.NewMetrics(), Log: zerolog.Nop()}
+	mux := http.NewServeMux()
+	for path, handler := range far.Handlers() {
+		mux.Handle(path, handler)
+	}
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	to := netip.MustParseAddrPort(server.Listener.Addr().String())
+	client := &gossiper.Client{Messenger: &messenger.Client{HTTP: server.Client(), Scheme: "http"}}
+	near := &gossiper.Table{Self: peer(0, 1), Incarnation: 1, Random: newFleet(t, 1, 1, 0).random}
+	now := time.Now()
+	near.Report(now, gossiper.Load{Endpoint: endpoint(0), Running: 3, Leaving: true})
+	reply, err := client.Exchange(t.Context(), to, near.Open(now, gossiper.Target{Address: to}))
+	is.NoErr(err)
+	near.Absorb(now, gossiper.Target{Address: to}, reply)
+	is.Equal(len(near.View(now).Members), 2)
+	is.Equal(far.View().Self, peer(1, 1))
+	_, err = client.AnnounceLeaving(t.Context(), to, &gossiper.Notices{Notices: []gossiper.Notice{{Subject: gossiper.Subject{Name: string(endpoint(0))}, Stamp: uint64(now.UnixMicro()), Leaving: true}}})
+	is.NoErr(err)
+	is.True(far.View().Leaving(s, endpoint(0)))
+	is.Equal(far.View().Loads[endpoint(0)].Running, 3)
+	_, err = client.Exchange(t.Context(), to, &gossiper.Exchange{})
+	is.True(err != nil) // an exchange without a sender is refused
+}
--- /dev/null
+++ b/gossiper/poll.go
@@ -0,0 +1,94 @@
+package gossiper
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"apricotspool/lister"
+)
+
+// PollPeriod is the time between two load reports of one endpoint. At 1 s the reports of a data
+// centre with 123 endpoints alone take most of the budget of 5 KB/s for each daemon.
+const PollPeriod = 2 * time.Second
+
+// hostListPeriod is the time between two readings of the host list by the daemons that read it.
+const hostListPeriod = 2 * time.Second
+
+// hostListReaders is the number of daemons of a data centre that read the host list.
+const hostListReaders = 2
+
+// pollers bounds the polls that one daemon has open.
+const pollers = 16
+
+// poll asks every endpoint of this daemon's duty for its load.
+func (g *Gossiper) poll(ctx context.Context) {
+	var duties []Duty
+	g.update(func(now time.Time, t *Table) { duties = t.Duties(now) })
+	ctx, cancel := context.WithTimeout(ctx, PollPeriod)
+	defer cancel()
+	slots := make(chan struct{}, pollers)
+	var polls sync.WaitGroup
+	for _, d := range duties {
+		slots <- struct{}{}
+		polls.Go(func() {
+			defer func() { <-slots }()
+			g.pollOne(ctx, d)
+		})
+	}
+	polls.Wait()
+}
+
+func (g *Gossiper) pollOne(ctx context.Context, d Duty) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l, err := g.Poller.Poll(callCtx, d)
+	if err != nil {
+		g.Metrics.Counter("apricotspool_load_polls_failed_total").Inc()
+		return
+	}
+	l.Endpoint = d.Endpoint
+	var fresh []Notice
+	g.update(func(now time.Time, t *Table) { fresh = t.Report(now, l) })
+	g.push(context.WithoutCancel(ctx), fresh, SpreadAll)
+}
+
+// readHosts reads the host list when this daemon is among those that do, and turns it into notices
+// on hosts and on the endpoints at their addresses, and into seeds.
+func (g *Gossiper) readHosts(ctx context.Context) {
+	if !g.View().Chosen("host-list", hostListReaders) {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	hosts, err := g.Hosts.Hosts(callCtx)
+	if err != nil {
+		g.Metrics.Counter("apricotspool_host_list_failed_total").Inc()
+		return
+	}
+	var fresh []Notice
+	g.update(func(now time.Time, t *Table) { fresh = t.Hosts(now, hosts) })
+	g.push(context.WithoutCancel(ctx), fresh, SpreadAll)
+}
+
+// Hosts takes the host list. The list lags, so a host that it doesn't name changes nothing.
+func (t *Table) Hosts(now time.Time, hosts []lister.Host) []Notice {
+	t.start(now)
+	leaving := make(map[netip.Addr]bool, len(hosts))
+	var fresh []Notice
+	for _, h := range hosts {
+		leaves := h.State == lister.Leaving
+		leaving[h.Address] = leaves
+		fresh = append(fresh, t.Found(now, Subject{Kind: KindHost, Name: string(h.Name), Source: SourceHostList}, leaves)...)
+		if h.Peer.IsValid() {
+			t.seed(h.Peer)
+		}
+	}
+	for name, address := range t.places.all {
+		if leaves, listed := leaving[address.Addr()]; listed {
+			fresh = append(fresh, t.Found(now, Subject{Kind: KindEndpoint, Name: string(name), Source: SourceHostList}, leaves)...)
+		}
+	}
+	return fresh
+}
--- /dev/null
+++ b/gossiper/view.go
@@ -0,0 +1,121 @@
+package gossiper
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"apricotspool/configurer"
+	"apricotspool/namer"
+)
+
+// View is the membership and load at one time. It is never changed after it was built.
+type View struct {
+	Self    Peer
+	Members []Member // of the own data centre, by host, this daemon included
+	Loads   map[namer.Endpoint]LoadAt
+	Remote  []RemoteView // other data centres, by name
+
+	leaving map[namer.Endpoint]bool
+	live    []Peer // for duties: neither suspected nor leaving
+	push    []Peer // for announcements: not suspected, without this daemon
+}
+
+// Member is one daemon of the own data centre.
+type Member struct {
+	Peer        Peer                `json:"peer"`
+	Incarnation namer.Incarnation   `json:"incarnation"`
+	Config      namer.ConfigVersion `json:"config"`
+	Leaving     bool                `json:"leaving"`
+	Suspected   bool                `json:"suspected"`
+}
+
+// LoadAt is a load with the time of its figures on this daemon's clock.
+type LoadAt struct {
+	At             time.Time
+	Running        int
+	Waiting        int
+	WaitingPrefill namer.Tokens
+	KVUsed         float64
+	Role           namer.Role
+	Leaving        bool
+}
+
+// RemoteView is another data centre.
+type RemoteView struct {
+	Summary   Summary
+	At        time.Time // when the summary was made
+	Reachable bool      // the last exchange with one of its contacts succeeded
+}
+
+// View builds a view.
+func (t *Table) View(now time.Time) *View {
+	t.start(now)
+	v := &View{Self: t.Self, Loads: map[namer.Endpoint]LoadAt{}, leaving: map[namer.Endpoint]bool{}}
+	for _, m := range t.members {
+		v.Members = append(v.Members, Member{
+			Peer: m.info.Peer, Incarnation: m.info.Incarnation, Config: m.info.Config,
+			Leaving: t.hostLeaves(m), Suspected: t.suspected(now, m),
+		})
+	}
+	slices.SortFunc(v.Members, func(a, b Member) int { return comparePeers(a.Peer, b.Peer) })
+	v.live = t.live(now, true)
+	v.push = slices.DeleteFunc(t.live(now, false), func(p Peer) bool { return p.Host == t.Self.Host })
+	for name, r := range t.loads() {
+		l := r.load
+		at := LoadAt{At: r.at, Running: l.Running, Waiting: l.Waiting, WaitingPrefill: l.WaitingPrefill, KVUsed: float64(l.KVUsed) / 255, Leaving: l.Leaving}
+		if int(l.Role) < len(roles) {
+			at.Role = roles[l.Role]
+		}
+		v.Loads[name] = at
+	}
+	for subject, n := range t.notices {
+		if n.Leaving && subject.Kind == KindEndpoint {
+			v.leaving[namer.Endpoint(subject.Name)] = true
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.remote)) {
+		r := t.remote[name]
+		v.Remote = append(v.Remote, RemoteView{Summary: r.summary, At: r.at, Reachable: !r.failed})
+	}
+	return v
+}
+
+// Live returns the members of the own data centre that take duties, this daemon included.
+func (v *View) Live() []Peer { return v.live }
+
+// Chosen reports whether this daemon is among the n live members that rank first for a key.
+func (v *View) Chosen(key string, n int) bool {
+	return slices.ContainsFunc(Choose(key, v.live, n), func(p Peer) bool { return p.Host == v.Self.Host })
+}
+
+// Leaving reports whether an endpoint gets no new work: the union of the configuration, the host
+// list and the endpoint's own state.
+func (v *View) Leaving(s *configurer.Snapshot, name namer.Endpoint) bool {
+	return v.leaving[name] || v.Loads[name].Leaving || s.Document().Endpoints[name].State == configurer.StateDraining
+}
+
+// Spread returns peers for an epidemic push: random members of the own data centre, and one contact
+// in each of some other data centres; remote below 0 means all of them.
+func (v *View) Spread(random *rand.Rand, local, remote int) []Peer {
+	peers := sample(random, v.push, local)
+	others := v.Remote
+	if remote >= 0 {
+		others = sample(random, v.Remote, remote)
+	}
+	for _, r := range others {
+		peers = append(peers, sample(random, r.Summary.Contacts, 1)...)
+	}
+	return peers
+}
+
+// sample returns up to n random elements.
+func sample[T any](random *rand.Rand, from []T, n int) []T {
+	n = min(n, len(from))
+	chosen := make([]T, 0, n)
+	for _, i := range random.Perm(len(from))[:n] {
+		chosen = append(chosen, from[i])
+	}
+	return chosen
+}
--- /dev/null
+++ b/imitator/hosts_test.go
@@ -0,0 +1,48 @@
+package imitator_test
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"apricotspool/imitator"
+	"apricotspool/lister"
+	"apricotspool/lister/listertest"
+)
+
+// Guards against a fake that differs from the host list's contract.
+func TestHostsContract(t *testing.T) {
+	hosts := &imitator.Hosts{}
+	listertest.Run(t, hosts, hosts.Set)
+}
+
+// Guards against a client that loses fields or takes a failure for an empty list.
+func TestHostsContractOverHTTP(t *testing.T) {
+	hosts := &imitator.Hosts{}
+	far := httptest.NewServer(&imitator.HostsHandler{Hosts: hosts, Token: "secret"})
+	defer far.Close()
+	address := netip.MustParseAddrPort(far.Listener.Addr().String())
+	listertest.Run(t, &lister.Client{Address: address, Token: "secret"}, hosts.Set)
+}
+
+// Guards against a fake whose list doesn't lag, which would hide faults that a stale list causes.
+func TestHostsLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		hosts := &imitator.Hosts{Lag: 10 * time.Second}
+		hosts.Set([]lister.Host{{Name: "a", State: lister.Live}})
+		time.Sleep(10 * time.Second)
+		hosts.Set([]lister.Host{{Name: "a", State: lister.Leaving}})
+		time.Sleep(9 * time.Second)
+		for _, want := range []lister.State{lister.Live, lister.Leaving} {
+			list, err := hosts.Hosts(t.Context())
+			is.NoErr(err)
+			is.Equal(list[0].State, want)
+			time.Sleep(time.Second)
+		}
+	})
+}
