--- /dev/null
+++ b/configurer/main_test.go
@@ -0,0 +1,15 @@
+package configurer_test
+
+import (
+	"flag"
+	"testing"
+)
+
+// TestMain gives rapid a fixed seed unless the command line sets another.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		f.Value.Set("1")
+	}
+	m.Run()
+}
--- a/distributor/bootstrap.go
+++ b/distributor/bootstrap.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -24,13 +25,30 @@
 			break
 		}
 		d.Log.Warn().Err(err).Msg("no-configuration-yet")
-		if !sleep(ctx, delay.next(d.jitter)) {
+		if !d.awaitNews(ctx, delay.next(d.jitter)) {
 			return ctx.Err()
 		}
 	}
 	return nil
 }
 
+// awaitNews waits before the next attempt, and ends early when a peer that has a configuration has
+// shown up. It reports whether ctx is still valid.
+func (d *Distributor) awaitNews(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case n := <-d.news:
+		if err := d.bootstrapWith(ctx, n.at); err != nil {
+			return sleep(ctx, minDelay)
+		}
+	}
+	return ctx.Err() == nil
+}
+
 func (d *Distributor) bootstrapOnce(ctx context.Context) error {
 	var asked sync.WaitGroup
 	var h head
@@ -66,12 +84,12 @@
 }
 
 func (d *Distributor) bootstrapFromStore(ctx context.Context, h head) error {
-	d.applying.Lock()
-	defer d.applying.Unlock()
 	first, err := d.load(ctx, h)
 	if err != nil {
 		return err
 	}
+	d.applying.Lock()
+	defer d.applying.Unlock()
 	d.adopt(first, h.Tail, "store")
 	return nil
 }
--- a/distributor/commit.go
+++ b/distributor/commit.go
@@ -64,9 +64,13 @@
 		return Answer{Result: Invalid, Version: d.version(), Faults: faults}
 	}
 	p.Merge = merge
-	d.committing.Lock()
-	defer d.committing.Unlock()
 	c := commit{Distributor: d, patch: p, uncertain: p.Repeat}
+	select {
+	case d.committing <- struct{}{}:
+		defer func() { <-d.committing }()
+	case <-ctx.Done():
+		return c.unresolved(ctx.Err())
+	}
 	var delay backoff
 	for range maxCommitAttempts {
 		answer, done := c.attempt(ctx)
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -57,8 +57,8 @@
 	calls   messenger.Calls // pushes and removal of old objects
 	current atomic.Pointer[configurer.Snapshot]
 
-	committing sync.Mutex // held over one commit; two at once would only conflict
-	applying   sync.Mutex // held while a new version is built, so that one is built only once
+	committing chan struct{} // holds a value during a commit; two at once would only conflict
+	applying   sync.Mutex    // held while a new version is built, so that one is built only once; never over I/O
 
 	mu        sync.Mutex // guards the fields below; held only for computation
 	random    *rand.Rand
@@ -76,6 +76,7 @@
 	d.once.Do(func() {
 		d.done, d.ready = make(chan struct{}), make(chan struct{})
 		d.news = make(chan news, 1)
+		d.committing = make(chan struct{}, 1)
 		d.changed = make(chan struct{})
 		d.random = rand.New(rand.NewPCG(d.Random, 2))
 		d.budget = newBudget(d.Store, d.Metrics)
--- a/gossiper/load.go
+++ b/gossiper/load.go
@@ -74,13 +74,21 @@
 	return duties
 }
 
+// clockTolerance is how much later than a notice a load report must be to withdraw it. It covers the
+// difference between the clocks of two hosts.
+const clockTolerance = time.Second
+
 // Report adds a load report that this daemon has polled. It returns the notice that follows from a
 // change of the endpoint's own state, if any.
 func (t *Table) Report(now time.Time, l Load) []Notice {
 	t.start(now)
 	t.self.beat++
 	t.self.loads[l.Endpoint] = report{load: l, at: now.Add(-l.Age.std()), beat: t.self.beat}
-	return t.Found(now, Subject{Kind: KindEndpoint, Name: string(l.Endpoint), Source: SourceState}, l.Leaving)
+	subject := Subject{Kind: KindEndpoint, Name: string(l.Endpoint), Source: SourceState}
+	if known := t.notices[subject]; known.Leaving && !now.Add(-l.Age.std()).After(time.UnixMicro(int64(known.Stamp)).Add(clockTolerance)) {
+		return nil // the report lags behind the notice
+	}
+	return t.Found(now, subject, l.Leaving)
 }
 
 // loads returns the newest report of each endpoint over all members that have polled it.
--- a/gossiper/poll.go
+++ b/gossiper/poll.go
@@ -19,6 +19,10 @@
 // hostListReaders is the number of daemons of a data centre that read the host list.
 const hostListReaders = 2
 
+// hostListSettle is the age that a notice from the host list has before the list can withdraw it.
+// The list lags, and not equally for both readers; without a delay they would contradict each other.
+const hostListSettle = 30 * time.Second
+
 // pollers bounds the polls that one daemon has open.
 const pollers = 16
 
@@ -80,15 +84,23 @@
 	for _, h := range hosts {
 		leaves := h.State == lister.Leaving
 		leaving[h.Address] = leaves
-		fresh = append(fresh, t.Found(now, Subject{Kind: KindHost, Name: string(h.Name), Source: SourceHostList}, leaves)...)
+		fresh = append(fresh, t.listed(now, KindHost, string(h.Name), leaves)...)
 		if h.Peer.IsValid() {
 			t.seed(h.Peer)
 		}
 	}
 	for name, address := range t.places.all {
 		if leaves, listed := leaving[address.Addr()]; listed {
-			fresh = append(fresh, t.Found(now, Subject{Kind: KindEndpoint, Name: string(name), Source: SourceHostList}, leaves)...)
+			fresh = append(fresh, t.listed(now, KindEndpoint, string(name), leaves)...)
 		}
 	}
 	return fresh
 }
+
+func (t *Table) listed(now time.Time, kind Kind, name string, leaves bool) []Notice {
+	subject := Subject{Kind: kind, Name: name, Source: SourceHostList}
+	if !leaves && now.Sub(time.UnixMicro(int64(t.notices[subject].Stamp))) < hostListSettle {
+		return nil
+	}
+	return t.Found(now, subject, leaves)
+}
--- a/gossiper/table_test.go
+++ b/gossiper/table_test.go
@@ -185,7 +185,12 @@
 	is.True(v.Leaving(s, endpoint(0))) // its own state against the list's "live"
 	is.True(v.Leaving(s, endpoint(1)))
 	is.True(!v.Leaving(s, endpoint(2)))
+	late := gossiper.Load{Endpoint: endpoint(0), Age: 6000} // figures from before the notice
+	is.Equal(len(table.Report(f.now, late)), 0)
 	hosts[1].State = lister.Live
+	is.Equal(len(table.Hosts(f.now, hosts)), 0) // another reader of the list may see an earlier state
+	f.run(30 * time.Second)
+	is.True(f.tables[2].View(f.now).Leaving(s, endpoint(1)))
 	table.Hosts(f.now, hosts)
 	table.Report(f.now, gossiper.Load{Endpoint: endpoint(0)})
 	f.run(5 * time.Second)
