Add the engine client, its protocol page and the engine fake

Cause: the traffic path had the Engine interface but no adapter and no engine to test against. Change: generator.Client speaks the OpenAI-compatible protocol with extension headers and checks stream id, attempt and index of every chunk without parsing it. imitator.Engine and EngineHandler fake an engine that keeps unread streams, honours continuations, priorities, fencing, role changes and lag. generatortest is the contract; both the fake and the client over HTTP pass it. Stream gets Attempt and Pending. Only Call.Resume resumes: an empty continuation with From above 0 is valid after the role chunk of a chat, which the earlier rule took for a resumption. Before: no adapter. With the check of attempt and index off, the cases "doubled chunk", "lost chunk", "late chunk" and "chunk of an attempt" fail; with the check of the stream id off, "chunk of a stream" fails. Conclusion: foreign, late and doubled chunks end a stream instead of reaching a caller.

--- a/generator/engine.go
+++ b/generator/engine.go
@@ -36,16 +36,17 @@
 	Model     namer.Model
 	Body      []byte // the caller's JSON body, with "stream" set
 	Priority  int    // 0 is the most urgent; the engine serves lower numbers first
-	// From is the index of the first chunk wanted. Above 0 the engine resumes a stream that it has.
+	// From is the index of the first chunk wanted. Above 0 and without Resume the engine starts a new
+	// stream that goes on after Continuation.
 	From int
-	// Continuation is the text that earlier attempts have delivered in From chunks. When it is set,
-	// the engine starts a new stream that goes on after it, at index From.
+	// Continuation is the text that earlier attempts have delivered in From chunks. It can be empty
+	// with From above 0, because the first chunk of a chat has no text.
 	Continuation string
 	// PrefillOnly processes the prompt and keeps its KV cache for export; the stream ends at once.
 	PrefillOnly bool
 	// ImportFrom is the engine that holds the KV cache of this stream, if a prefill engine has it.
 	ImportFrom netip.AddrPort
-	// Resume asks only for a stream that the engine already has; it never starts one.
+	// Resume asks only for a stream that the engine already has, at Attempt or a later one; it never starts one.
 	Resume bool
 }
 
@@ -61,7 +62,13 @@
 // Stream yields the chunks of one call in order. Next returns a Chunk with Done set after the last
 // one. Chunks of another stream or attempt, or out of order, are an error of class ErrBroken.
 type Stream interface {
+	// Attempt is the attempt that the engine serves. A resumed stream can have a later one than the call.
+	Attempt() namer.Attempt
 	Next() (Chunk, error)
+	// Pending reports whether Next returns without waiting for the engine, so that a writer can
+	// delay its flush.
+	Pending() bool
+	// Close ends the reading. The engine keeps the stream until it is cancelled or its time limit passes.
 	Close() error
 }
 
--- /dev/null
+++ b/imitator/answer.go
@@ -0,0 +1,166 @@
+package imitator
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"apricotspool/generator"
+	"apricotspool/namer"
+)
+
+// DefaultTokens is the length of an answer when the request sets no limit.
+const DefaultTokens = 16
+
+// bytesPerToken is the usual estimate for English text.
+const bytesPerToken = 4
+
+var words = strings.Fields("belt mat width cover core fitter edge roll yard seam tooth pulley carpet weave drive hotel")
+
+// Answer is the whole answer of an imitated engine to one request. It depends only on the request,
+// so every engine gives the same one and tests know it beforehand.
+type Answer struct {
+	PromptTokens namer.Tokens
+	Tokens       int // output tokens
+
+	operation    generator.Operation
+	model        string
+	seed         uint64
+	usage        bool
+	finish       string
+	continuation string
+}
+
+type completionRequest struct {
+	Model    string `json:"model"`
+	Prompt   string `json:"prompt"`
+	Messages []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+	MaxTokens           int    `json:"max_tokens"`
+	MaxCompletionTokens int    `json:"max_completion_tokens"`
+	Continuation        string `json:"continuation"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// NewAnswer returns the answer to a request body. An answer has limit tokens when the request sets
+// no limit; 0 means DefaultTokens.
+func NewAnswer(operation generator.Operation, body []byte, limit int) (*Answer, error) {
+	var request completionRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return nil, errors.Wrapf(generator.ErrRejected, "request body: %v", err)
+	}
+	prompt := request.Prompt
+	for _, m := range request.Messages {
+		prompt += m.Content + "\n"
+	}
+	sum := fnv.New64a()
+	sum.Write([]byte(prompt))
+	a := &Answer{
+		PromptTokens: namer.Tokens(len(prompt)/bytesPerToken + 1),
+		Tokens:       max(request.MaxTokens, request.MaxCompletionTokens),
+		operation:    operation,
+		model:        request.Model,
+		seed:         sum.Sum64(),
+		usage:        request.StreamOptions.IncludeUsage,
+		finish:       "length",
+		continuation: request.Continuation,
+	}
+	if a.Tokens == 0 {
+		a.Tokens, a.finish = max(limit, 0), "stop"
+	}
+	if a.Tokens == 0 {
+		a.Tokens = DefaultTokens
+	}
+	return a, nil
+}
+
+// Text returns the first n tokens as text.
+func (a *Answer) Text(n int) string {
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(a.token(i))
+	}
+	return text.String()
+}
+
+func (a *Answer) token(i int) string {
+	mixed := (a.seed + uint64(i)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	return words[mixed>>60] + " "
+}
+
+// Chunks returns the number of chunks of the whole answer.
+func (a *Answer) Chunks() int {
+	n := a.lead() + a.Tokens + 1
+	if a.usage {
+		n++
+	}
+	return n
+}
+
+// lead is the number of chunks before the first token: a chat begins with a chunk for the role.
+func (a *Answer) lead() int {
+	if a.operation == generator.ChatCompletions {
+		return 1
+	}
+	return 0
+}
+
+// continues checks that the continuation is what chunks before index from have delivered.
+func (a *Answer) continues(from int) error {
+	delivered := min(max(from-a.lead(), 0), a.Tokens)
+	if want := a.Text(delivered); a.continuation != want {
+		return errors.Wrapf(generator.ErrRejected, "continuation %q at index %d differs from the answer so far, %q", a.continuation, from, want)
+	}
+	return nil
+}
+
+// append appends the JSON object of one chunk. Its first member is the stream id, as the protocol says.
+func (a *Answer) append(to []byte, stream namer.StreamID, index int) []byte {
+	to = append(append(append(to, `{"id":"`...), stream...), `","object":"`...)
+	if a.operation == generator.ChatCompletions {
+		to = append(to, `chat.completion.chunk`...)
+	} else {
+		to = append(to, `text_completion`...)
+	}
+	to = append(to, `","created":1700000000,"model":`...)
+	to = strconv.AppendQuote(to, a.model)
+	if index >= a.lead()+a.Tokens+1 {
+		return a.appendUsage(to)
+	}
+	to = append(to, `,"choices":[{"index":0,`...)
+	token := index - a.lead()
+	switch {
+	case token >= a.Tokens:
+		return append(append(append(to, a.finishDelta()...), a.finish...), `"}]}`...)
+	case token < 0:
+		to = append(to, `"delta":{"role":"assistant","content":""}`...)
+	case a.operation == generator.ChatCompletions:
+		to = append(append(append(to, `"delta":{"content":"`...), a.token(token)...), `"}`...)
+	default:
+		to = append(append(append(to, `"text":"`...), a.token(token)...), '"')
+	}
+	return append(to, `,"finish_reason":null}]}`...)
+}
+
+func (a *Answer) finishDelta() string {
+	if a.operation == generator.ChatCompletions {
+		return `"delta":{},"finish_reason":"`
+	}
+	return `"text":"","finish_reason":"`
+}
+
+func (a *Answer) appendUsage(to []byte) []byte {
+	to = append(to, `,"choices":[],"usage":{"prompt_tokens":`...)
+	to = strconv.AppendInt(to, int64(a.PromptTokens), 10)
+	to = append(to, `,"completion_tokens":`...)
+	to = strconv.AppendInt(to, int64(a.Tokens), 10)
+	to = append(to, `,"total_tokens":`...)
+	to = strconv.AppendInt(to, int64(a.PromptTokens)+int64(a.Tokens), 10)
+	return append(to, `}}`...)
+}
