Add the standin program for the store, engine and service fakes

Cause: trials with several processes need fakes that run by themselves. Change: standin serves one fake per process on an address given by flag and prints one key=value line when it serves. Before: fakes ran only inside tests. Conclusion: trials of whole processes can start.

--- /dev/null
+++ b/standin/store.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"net/http"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"apricotspool/imitator"
+)
+
+func addStore(app *kingpin.Application, handlers map[string]func() http.Handler) {
+	command := app.Command("store", "Object API in memory.")
+	token := command.Flag("token", "Bearer token that calls must carry; empty accepts every call.").String()
+	handlers[command.FullCommand()] = func() http.Handler {
+		return &imitator.StoreHandler{Store: &imitator.Store{}, Token: *token}
+	}
+}
