--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,183 @@
+// Package dispatcher owns the control state of a daemon: one goroutine feeds events to decider.Core
+// and hands its actions to the goroutines that serve the requests. Chunks never pass through it.
+package dispatcher
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"apricotspool/asserter"
+	"apricotspool/classifier"
+	"apricotspool/decider"
+	"apricotspool/namer"
+)
+
+// Limits of the dispatcher.
+const (
+	DefaultTick = 10 * time.Millisecond
+	inboxSize   = 1024
+	// maxActions is the most actions that wait for one request's goroutine. A request has a few
+	// attempts, each with a dispatch and perhaps a cancellation.
+	maxActions = 16
+)
+
+// ErrStopped means that the dispatcher does not run; the request was not seen by the core.
+var ErrStopped = errors.New("dispatcher does not run")
+
+// Core decides; decider.Core is the one of the daemon.
+type Core interface {
+	Configure(now time.Time, fleet decider.Fleet)
+	Arrive(now time.Time, r decider.Request) []decider.Action
+	Observe(now time.Time, e decider.Event) []decider.Action
+	Tick(now time.Time) []decider.Action
+}
+
+// Retries counts repeated attempts by reason.
+type Retries interface {
+	Retry(reason classifier.RetryReason)
+}
+
+// Dispatcher runs a Core. Set the exported fields before Run.
+type Dispatcher struct {
+	Core    Core
+	Retries Retries
+	Log     zerolog.Logger
+	Tick    time.Duration // how often time is reported to the core; 0 means DefaultTick
+
+	view    atomic.Pointer[View]
+	inbox   chan message
+	done    chan struct{}
+	once    sync.Once
+	tickets map[namer.StreamID]*Ticket // owned by Run
+}
+
+// message is one piece of news for the control goroutine. Only the fields of its kind are set.
+type message struct {
+	arrive *Ticket
+	event  *decider.Event
+	view   *View
+}
+
+func (d *Dispatcher) init() {
+	d.once.Do(func() {
+		d.inbox = make(chan message, inboxSize)
+		d.done = make(chan struct{})
+	})
+}
+
+// Done closes when the control goroutine has ended.
+func (d *Dispatcher) Done() <-chan struct{} {
+	d.init()
+	return d.done
+}
+
+// Run owns the core until ctx ends. It ends all waiting requests when it returns and can't run again.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	d.init()
+	d.tickets = map[namer.StreamID]*Ticket{}
+	defer d.stop()
+	period := d.Tick
+	if period == 0 {
+		period = DefaultTick
+	}
+	tick := time.NewTicker(period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-d.inbox:
+			d.handle(m)
+		case now := <-tick.C:
+			d.perform(d.Core.Tick(now))
+		}
+	}
+}
+
+func (d *Dispatcher) stop() {
+	close(d.done)
+	for _, t := range d.tickets {
+		close(t.actions)
+	}
+}
+
+func (d *Dispatcher) handle(m message) {
+	now := time.Now()
+	switch {
+	case m.view != nil:
+		d.Core.Configure(now, m.view.Fleet())
+	case m.arrive != nil:
+		t := m.arrive
+		asserter.Check(d.tickets[t.request.ID] == nil, "a request arrives once", "%+v", t.request)
+		d.tickets[t.request.ID] = t
+		d.perform(d.Core.Arrive(now, t.request))
+	case m.event != nil:
+		d.observe(now, *m.event)
+	}
+}
+
+func (d *Dispatcher) observe(now time.Time, e decider.Event) {
+	if e.Kind == decider.EventFinished || e.Kind == decider.EventCancelled {
+		delete(d.tickets, e.Request)
+	}
+	d.perform(d.Core.Observe(now, e))
+}
+
+// perform hands actions to the requests' goroutines. It never blocks.
+func (d *Dispatcher) perform(actions []decider.Action) {
+	for _, a := range actions {
+		t := d.tickets[a.Request]
+		if t == nil {
+			// The request ended while the core decided; only a cancellation may still concern it.
+			asserter.Check(a.Kind == decider.ActionCancel, "actions concern requests that are known", "%+v", a)
+			continue
+		}
+		if a.Kind == decider.ActionDispatch && a.Retry != "" && d.Retries != nil {
+			d.Retries.Retry(a.Retry)
+		}
+		if a.Kind == decider.ActionRefuse {
+			delete(d.tickets, a.Request)
+		}
+		select {
+		case t.actions <- a:
+		default:
+			asserter.Check(false, "a request has few actions", "%+v", a)
+		}
+	}
+}
+
+// Configure publishes a view of the configuration and the fleet and passes it to the core.
+func (d *Dispatcher) Configure(ctx context.Context, view *View) error {
+	d.view.Store(view)
+	return d.send(ctx, message{view: view})
+}
+
+// View returns the last published view, or nil.
+func (d *Dispatcher) View() *View { return d.view.Load() }
+
+// Observe passes news about an endpoint to the core: load, cache or health.
+func (d *Dispatcher) Observe(ctx context.Context, e decider.Event) error {
+	return d.send(ctx, message{event: &e})
+}
+
+func (d *Dispatcher) send(ctx context.Context, m message) error {
+	d.init()
+	select {
+	case <-d.done:
+		return ErrStopped
+	default:
+	}
+	select {
+	case d.inbox <- m:
+		return nil
+	case <-d.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
