--- a/imitator/node.go
+++ b/imitator/node.go
@@ -80,6 +80,13 @@
 	n.killed = true
 }
 
+// Killed reports whether Kill was called.
+func (n *Node) Killed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.killed
+}
+
 // Pass blocks while the node is paused and reports whether it is alive. Points are "get", "put",
 // "put-answer", "delete", "list", "watch" and those of other fakes.
 func (n *Node) Pass(point string) bool {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -61,6 +61,8 @@
 	Clock   Clock // nil means SystemClock
 	// Eligible says whether this process may become the holder now; nil means always.
 	Eligible func() bool
+	// Random returns a number from 0 to below its argument for the jitter; nil means a random one.
+	Random func(below time.Duration) time.Duration
 
 	once  sync.Once
 	done  chan struct{}
@@ -140,18 +142,18 @@
 func (l *Leaser) compete(ctx context.Context) time.Duration {
 	if err := l.read(ctx); err != nil {
 		l.Log.Debug().Err(err).Str("lease", string(l.Name)).Msg("lease-unreadable")
-		return jitter(PollInterval)
+		return l.jitter(PollInterval)
 	}
 	if l.value.Holder == l.Process {
 		return 0
 	}
 	if !l.free() || (l.Eligible != nil && !l.Eligible()) {
-		return jitter(PollInterval)
+		return l.jitter(PollInterval)
 	}
 	next := lease{Holder: l.Process, Fencing: l.value.Fencing + 1}
 	if err := l.write(ctx, next); err != nil {
 		l.Log.Debug().Err(err).Str("lease", string(l.Name)).Msg("lease-not-acquired")
-		return jitter(PollInterval)
+		return l.jitter(PollInterval)
 	}
 	return RenewInterval
 }
@@ -165,7 +167,7 @@
 func (l *Leaser) renew(ctx context.Context) time.Duration {
 	if err := l.write(ctx, l.value); err != nil {
 		l.Log.Warn().Err(err).Str("lease", string(l.Name)).Msg("lease-not-renewed")
-		return jitter(retryInterval)
+		return l.jitter(retryInterval)
 	}
 	return RenewInterval
 }
@@ -272,4 +274,9 @@
 }
 
 // jitter spreads waits over half to all of d.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+func (l *Leaser) jitter(d time.Duration) time.Duration {
+	if l.Random == nil {
+		return d/2 + rand.N(d/2)
+	}
+	return d/2 + l.Random(d/2)
+}
