--- a/server/server_test.go
+++ b/server/server_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -199,6 +200,8 @@
 		}
 	}
 	daemon := f.start(t)
+	release := sync.OnceFunc(func() { close(drained) })
+	t.Cleanup(release)
 	want := expected(t, tokens, `,"stream":true`)
 	begun, results := make(chan struct{}, streams), make(chan *received, streams)
 	for range streams {
@@ -221,7 +224,7 @@
 		response := daemon.do(t, "POST", "/v1/chat/completions", chat(1, ""), nil)
 		refused = response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("X-Outcome") == "not-run"
 	}
-	close(drained)
+	release()
 	for range streams {
 		got := <-results
 		is.True(got.done)
