--- /dev/null
+++ b/administrator/administrator.go
@@ -0,0 +1,206 @@
+// Package administrator is the operators' HTTP API on its own listener: configuration, status,
+// drain, metrics and health. Every path but the health checks asks for the operators' token. It
+// owns no state; what it shows and changes belongs to the components behind its interfaces.
+package administrator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"apricotspool/decoder"
+	"apricotspool/namer"
+)
+
+// HeaderPatchID names a patch, so that it is applied at most once however often it is sent.
+const HeaderPatchID = "X-Patch-Id"
+
+// patchTimeout bounds one patch; the platform answers in milliseconds when it is healthy.
+const patchTimeout = 15 * time.Second
+
+// Limits of the history listing.
+const (
+	DefaultHistory = 20
+	MaxHistory     = 1000
+)
+
+// Configuration reads and changes the configuration.
+type Configuration interface {
+	// Current returns the version in force and its document as JSON; version 0 means none yet.
+	Current() (namer.ConfigVersion, []byte)
+	Patch(ctx context.Context, base namer.ConfigVersion, id string, patch []byte) PatchAnswer
+	History(ctx context.Context, limit int) ([]HistoryEntry, error)
+}
+
+// Daemon is the process that the API administers.
+type Daemon interface {
+	Status() Status
+	Ready() bool
+	// Drain starts a graceful shutdown and returns at once.
+	Drain()
+	// Release drops the binding of an endpoint that ignores fencing numbers.
+	Release(ctx context.Context, endpoint namer.Endpoint) error
+	WriteMetrics(w io.Writer)
+}
+
+// Administrator serves the operators' API. Set the exported fields before use.
+type Administrator struct {
+	Token         string // bearer token of the operators
+	Configuration Configuration
+	Daemon        Daemon
+}
+
+// Handler returns the HTTP handler of the operators' listener.
+func (a *Administrator) Handler() http.Handler {
+	private := http.NewServeMux()
+	private.HandleFunc("GET /configuration", a.getConfiguration)
+	private.HandleFunc("PATCH /configuration", a.patchConfiguration)
+	private.HandleFunc("GET /configuration/history", a.history)
+	private.HandleFunc("GET /status", a.status)
+	private.HandleFunc("POST /drain", a.drain)
+	private.HandleFunc("POST /endpoints/{endpoint}/release", a.release)
+	private.HandleFunc("GET /metrics", a.metrics)
+	public := http.NewServeMux()
+	AddHealth(public, a.Daemon.Ready)
+	public.Handle("/", a.authenticated(private))
+	return public
+}
+
+// AddHealth adds the health checks that the platform's balancer and supervisor read.
+func AddHealth(mux *http.ServeMux, ready func() bool) {
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ready\n")
+	})
+}
+
+func (a *Administrator) authenticated(next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte(a.Token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			refuse(w, http.StatusUnauthorized, "the operators' token is required")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (a *Administrator) getConfiguration(w http.ResponseWriter, _ *http.Request) {
+	version, document := a.Configuration.Current()
+	if version == 0 {
+		refuse(w, http.StatusNotFound, "there is no configuration yet")
+		return
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(version), 10)))
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(document)
+}
+
+func (a *Administrator) patchConfiguration(w http.ResponseWriter, r *http.Request) {
+	base, err := baseVersion(r)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	id := r.Header.Get(HeaderPatchID)
+	if id == "" || len(id) > namer.MaxNameLength {
+		refuse(w, http.StatusBadRequest, HeaderPatchID+" is required and has at most "+strconv.Itoa(namer.MaxNameLength)+" characters")
+		return
+	}
+	patch, err := io.ReadAll(http.MaxBytesReader(w, r.Body, decoder.MaxBytes))
+	if err != nil {
+		refuse(w, http.StatusRequestEntityTooLarge, "the patch could not be read: "+err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), patchTimeout)
+	defer cancel()
+	answer := a.Configuration.Patch(ctx, base, id, patch)
+	writeJSON(w, answer.Result.status(), answer)
+}
+
+func baseVersion(r *http.Request) (namer.ConfigVersion, error) {
+	text, err := strconv.Unquote(r.Header.Get("If-Match"))
+	if err != nil {
+		return 0, errors.New("If-Match with the quoted version that the patch was written against is required")
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, errors.Errorf("If-Match %q is not a version", text)
+	}
+	return namer.ConfigVersion(version), nil
+}
+
+func (a *Administrator) history(w http.ResponseWriter, r *http.Request) {
+	limit := DefaultHistory
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > MaxHistory {
+			refuse(w, http.StatusBadRequest, "limit "+strconv.Quote(text)+" is not allowed; allowed are 1 to "+strconv.Itoa(MaxHistory))
+			return
+		}
+		limit = n
+	}
+	entries, err := a.Configuration.History(r.Context(), limit)
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, "the history could not be read: "+err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, entries)
+}
+
+func (a *Administrator) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.Daemon.Status())
+}
+
+func (a *Administrator) drain(w http.ResponseWriter, _ *http.Request) {
+	a.Daemon.Drain()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (a *Administrator) release(w http.ResponseWriter, r *http.Request) {
+	var endpoint namer.Endpoint
+	if err := endpoint.UnmarshalText([]byte(r.PathValue("endpoint"))); err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if err := a.Daemon.Release(r.Context(), endpoint); err != nil {
+		refuse(w, http.StatusConflict, err.Error())
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *Administrator) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	a.Daemon.WriteMetrics(w)
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(value)
+}
+
+func refuse(w http.ResponseWriter, status int, message string) {
+	type problem struct {
+		Message string `json:"message"`
+	}
+	writeJSON(w, status, struct {
+		Error problem `json:"error"`
+	}{problem{message}})
+}
--- /dev/null
+++ b/commander/serve.go
@@ -0,0 +1,32 @@
+package commander
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"apricotspool/assembler"
+	"apricotspool/loader"
+	"apricotspool/recorder"
+)
+
+func (c *console) addServe(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	command := app.Command("serve", "Run a daemon until it is interrupted. The first SIGTERM or SIGINT drains it, a second one cuts it.")
+	name := command.Flag("settings", "Settings file; see docs/settings.md.").Required().String()
+	actions[command.FullCommand()] = func(ctx context.Context) error { return c.serve(ctx, *name) }
+}
+
+func (c *console) serve(ctx context.Context, name string) error {
+	settings, err := loader.Load(name)
+	if err != nil {
+		return withCode(ExitUsage, errors.Wrapf(err, "settings file %q", name))
+	}
+	level, err := zerolog.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return withCode(ExitUsage, err)
+	}
+	daemon := &assembler.Daemon{Settings: settings, Log: recorder.NewLogger(c.err).Level(level), Version: Version}
+	return daemon.Run(ctx)
+}
--- /dev/null
+++ b/commander/status.go
@@ -0,0 +1,56 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"apricotspool/administrator"
+)
+
+func (c *console) addStatus(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	command := app.Command("status", "Print what a daemon knows: itself, its peers and the endpoints.")
+	c.operator.add(command)
+	c.addOutput(command)
+	actions[command.FullCommand()] = c.status
+}
+
+func (c *console) status(ctx context.Context) error {
+	a, err := c.operator.call(ctx, http.MethodGet, "/status", nil, nil)
+	if err != nil {
+		return err
+	}
+	if err := a.problem(); err != nil {
+		return err
+	}
+	if c.output == "json" {
+		_, err = c.out.Write(a.body)
+		return errors.Wrap(err, "write status")
+	}
+	var status administrator.Status
+	if err := json.Unmarshal(a.body, &status); err != nil {
+		return errors.Wrap(err, "read daemon's answer")
+	}
+	return c.printStatus(status)
+}
+
+func (c *console) printStatus(s administrator.Status) error {
+	fmt.Fprintf(c.out, "host %s in %s, version %s, configuration %d, state %s, requests %d\n",
+		s.Host, s.DataCentre, s.Version, s.Configuration, s.State, s.Requests)
+	table := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "PEER\tDATA CENTRE\tSTATE\tCONFIGURATION\tHEARD")
+	for _, p := range s.Peers {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\n", p.Host, p.DataCentre, p.State, p.Configuration, p.Heard.Std().Round(time.Millisecond))
+	}
+	fmt.Fprintln(table, "ENDPOINT\tSERVICE\tDATA CENTRE\tSTATE\tROLE\tRUNNING\tWAITING\tREPORT AGE")
+	for _, e := range s.Endpoints {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", e.Name, e.Service, e.DataCentre, e.State, e.Role, e.Running, e.Waiting, e.ReportAge.Std().Round(time.Millisecond))
+	}
+	return errors.Wrap(table.Flush(), "write status")
+}
