--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -16,12 +16,21 @@
 
 	"github.com/pkg/errors"
 
+	"apricotspool/configurer"
 	"apricotspool/decoder"
+	"apricotspool/distributor"
 	"apricotspool/namer"
 )
 
-// HeaderPatchID names a patch, so that it is applied at most once however often it is sent.
-const HeaderPatchID = "X-Patch-Id"
+// Headers of a patch.
+const (
+	// HeaderPatchID names a patch, so that it is applied at most once however often it is sent.
+	HeaderPatchID = "X-Patch-Id"
+	// HeaderPatchRepeat says that an earlier call with the same id had no certain result.
+	HeaderPatchRepeat = "X-Patch-Repeat"
+	// HeaderOperator names the operator in the history.
+	HeaderOperator = "X-Operator"
+)
 
 // patchTimeout bounds one patch; the platform answers in milliseconds when it is healthy.
 const patchTimeout = 15 * time.Second
@@ -32,12 +41,11 @@
 	MaxHistory     = 1000
 )
 
-// Configuration reads and changes the configuration.
+// Configuration reads and changes the configuration; distributor.Distributor implements it.
 type Configuration interface {
-	// Current returns the version in force and its document as JSON; version 0 means none yet.
-	Current() (namer.ConfigVersion, []byte)
-	Patch(ctx context.Context, base namer.ConfigVersion, id string, patch []byte) PatchAnswer
-	History(ctx context.Context, limit int) ([]HistoryEntry, error)
+	Snapshot() *configurer.Snapshot
+	Patch(ctx context.Context, p distributor.Patch) distributor.Answer
+	History(ctx context.Context, after namer.ConfigVersion, limit int) ([]distributor.Entry, error)
 }
 
 // Daemon is the process that the API administers.
@@ -101,14 +109,14 @@
 }
 
 func (a *Administrator) getConfiguration(w http.ResponseWriter, _ *http.Request) {
-	version, document := a.Configuration.Current()
-	if version == 0 {
+	snapshot := a.Configuration.Snapshot()
+	if snapshot == nil {
 		refuse(w, http.StatusNotFound, "there is no configuration yet")
 		return
 	}
-	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(version), 10)))
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(snapshot.Version()), 10)))
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(document)
+	w.Write(snapshot.Document().Encode())
 }
 
 func (a *Administrator) patchConfiguration(w http.ResponseWriter, r *http.Request) {
@@ -117,11 +125,6 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	id := r.Header.Get(HeaderPatchID)
-	if id == "" || len(id) > namer.MaxNameLength {
-		refuse(w, http.StatusBadRequest, HeaderPatchID+" is required and has at most "+strconv.Itoa(namer.MaxNameLength)+" characters")
-		return
-	}
 	patch, err := io.ReadAll(http.MaxBytesReader(w, r.Body, decoder.MaxBytes))
 	if err != nil {
 		refuse(w, http.StatusRequestEntityTooLarge, "the patch could not be read: "+err.Error())
@@ -129,8 +132,11 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), patchTimeout)
 	defer cancel()
-	answer := a.Configuration.Patch(ctx, base, id, patch)
-	writeJSON(w, answer.Result.status(), answer)
+	answer := a.Configuration.Patch(ctx, distributor.Patch{
+		ID: distributor.PatchID(r.Header.Get(HeaderPatchID)), Base: base, Merge: patch,
+		By: r.Header.Get(HeaderOperator), Repeat: r.Header.Get(HeaderPatchRepeat) == "true",
+	})
+	writeJSON(w, patchStatus(answer.Result), answer)
 }
 
 func baseVersion(r *http.Request) (namer.ConfigVersion, error) {
@@ -145,6 +151,7 @@
 	return namer.ConfigVersion(version), nil
 }
 
+// history lists the newest patches that were accepted, the oldest first.
 func (a *Administrator) history(w http.ResponseWriter, r *http.Request) {
 	limit := DefaultHistory
 	if text := r.URL.Query().Get("limit"); text != "" {
@@ -155,11 +162,18 @@
 		}
 		limit = n
 	}
-	entries, err := a.Configuration.History(r.Context(), limit)
+	var after namer.ConfigVersion
+	if snapshot := a.Configuration.Snapshot(); snapshot != nil && snapshot.Version() > namer.ConfigVersion(limit) {
+		after = snapshot.Version() - namer.ConfigVersion(limit)
+	}
+	entries, err := a.Configuration.History(r.Context(), after, limit)
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, "the history could not be read: "+err.Error())
 		return
 	}
+	if entries == nil {
+		entries = []distributor.Entry{}
+	}
 	writeJSON(w, http.StatusOK, entries)
 }
 
--- a/administrator/message.go
+++ b/administrator/message.go
@@ -2,56 +2,26 @@
 
 import (
 	"net/http"
-	"time"
 
-	"apricotspool/decoder"
+	"apricotspool/distributor"
 	"apricotspool/namer"
 )
 
-// PatchResult says what became of a patch.
-type PatchResult string
-
-// The results of a patch.
-const (
-	PatchApplied    PatchResult = "applied"
-	PatchStale      PatchResult = "stale"       // written against an old version; nothing was applied
-	PatchInvalid    PatchResult = "invalid"     // the patched document has faults; nothing was applied
-	PatchNotApplied PatchResult = "not-applied" // the platform could not take it; nothing was applied
-	PatchUnknown    PatchResult = "unknown"     // it may have been applied; ask again with the same patch id
-)
-
-func (r PatchResult) status() int {
+// patchStatus maps the result of a patch to an HTTP status.
+func patchStatus(r distributor.Result) int {
 	switch r {
-	case PatchApplied:
+	case distributor.Applied:
 		return http.StatusOK
-	case PatchStale:
+	case distributor.Stale:
 		return http.StatusPreconditionFailed
-	case PatchInvalid:
+	case distributor.Invalid:
 		return http.StatusUnprocessableEntity
-	case PatchNotApplied:
+	case distributor.NotApplied:
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusGatewayTimeout
 }
 
-// PatchAnswer is the answer to a patch.
-type PatchAnswer struct {
-	Result PatchResult `json:"result"`
-	// Version is the one that the patch became, or the current one.
-	Version namer.ConfigVersion `json:"version"`
-	Changes []string            `json:"changes,omitempty"` // for "stale": what changed since the patch's base
-	Faults  decoder.Faults      `json:"faults,omitempty"`  // for "invalid"
-	Message string              `json:"message,omitempty"`
-}
-
-// HistoryEntry is one accepted patch.
-type HistoryEntry struct {
-	Version namer.ConfigVersion `json:"version"`
-	ID      string              `json:"id"`
-	At      time.Time           `json:"at"`
-	Patch   string              `json:"patch"`
-}
-
 // Status is what a daemon knows.
 type Status struct {
 	Host          namer.Host          `json:"host"`
@@ -71,7 +41,6 @@
 	DataCentre    namer.DataCentre    `json:"data-centre"`
 	State         string              `json:"state"`
 	Configuration namer.ConfigVersion `json:"configuration"`
-	Heard         namer.Duration      `json:"heard"` // since its last heartbeat
 }
 
 // EndpointStatus is an endpoint as this daemon knows it.
--- a/commander/config.go
+++ b/commander/config.go
@@ -9,11 +9,13 @@
 	"net/url"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
 
 	"apricotspool/administrator"
+	"apricotspool/distributor"
 	"apricotspool/namer"
 )
 
@@ -28,13 +30,15 @@
 	c.operator.add(patch)
 	c.addOutput(patch)
 	version := patch.Flag("version", "Version that the patch was written against; 0 for the first configuration.").Required().Uint64()
-	id := patch.Flag("patch-id", "Name of this patch. Ask again with the same name when the outcome is unknown; it is applied at most once. Default: random.").String()
+	id := patch.Flag("patch-id", "Name of this patch; default: random. With the name of an earlier patch whose outcome was unknown, and --again, it is applied at most once.").String()
+	again := patch.Flag("again", "The patch was sent before and its outcome was unknown.").Bool()
+	by := patch.Flag("by", "Name of the operator, for the history.").Envar("USER").String()
 	file := patch.Arg("file", "File with the patch, or - for standard input.").Required().String()
 	actions[patch.FullCommand()] = func(ctx context.Context) error {
-		return c.configPatch(ctx, namer.ConfigVersion(*version), *id, *file)
+		return c.configPatch(ctx, namer.ConfigVersion(*version), patchCall{id: *id, again: *again, by: *by, file: *file})
 	}
 
-	history := config.Command("history", "Print the latest accepted patches, the newest first.")
+	history := config.Command("history", "Print the latest accepted patches, the oldest first.")
 	c.operator.add(history)
 	c.addOutput(history)
 	limit := history.Flag("limit", "Most patches to print.").Default("20").Int()
@@ -54,24 +58,32 @@
 	return errors.Wrap(err, "write configuration")
 }
 
-func (c *console) configPatch(ctx context.Context, version namer.ConfigVersion, id, file string) error {
-	patch, err := readInput(file)
+// patchCall holds the flags of one call of "config patch".
+type patchCall struct {
+	id, by, file string
+	again        bool
+}
+
+func (c *console) configPatch(ctx context.Context, version namer.ConfigVersion, p patchCall) error {
+	patch, err := readInput(p.file)
 	if err != nil {
 		return withCode(ExitUsage, err)
 	}
+	id := p.id
 	if id == "" {
 		id = string(namer.NewStreamID())
 	}
 	header := http.Header{
-		"If-Match":                       {strconv.Quote(strconv.FormatUint(uint64(version), 10))},
-		administrator.HeaderPatchID:      {id},
-		http.CanonicalHeaderKey("accept"): {"application/json"},
+		"If-Match":                      {strconv.Quote(strconv.FormatUint(uint64(version), 10))},
+		administrator.HeaderPatchID:     {id},
+		administrator.HeaderPatchRepeat: {strconv.FormatBool(p.again)},
+		administrator.HeaderOperator:    {p.by},
 	}
 	a, err := c.operator.call(ctx, http.MethodPatch, "/configuration", header, patch)
 	if err != nil {
-		return withCode(ExitUnknown, errors.Wrapf(err, "patch %q: the outcome is unknown; ask again with --patch-id=%s", id, id))
+		return withCode(ExitUnknown, errors.Wrapf(err, "the outcome is unknown; ask again with --again --patch-id=%s", id))
 	}
-	var result administrator.PatchAnswer
+	var result distributor.Answer
 	if json.Unmarshal(a.body, &result) != nil || result.Result == "" {
 		return a.problem()
 	}
@@ -92,7 +104,7 @@
 	return text, errors.Wrap(err, "read patch")
 }
 
-func printPatch(w io.Writer, id string, result administrator.PatchAnswer) {
+func printPatch(w io.Writer, id string, result distributor.Answer) {
 	fmt.Fprintf(w, "patch %s: %s, version %d\n", id, result.Result, result.Version)
 	for _, fault := range result.Faults {
 		fmt.Fprintf(w, "  %s\n", fault)
@@ -102,18 +114,18 @@
 	}
 }
 
-func patchError(id string, result administrator.PatchAnswer) error {
+func patchError(id string, result distributor.Answer) error {
 	switch result.Result {
-	case administrator.PatchApplied:
+	case distributor.Applied:
 		return nil
-	case administrator.PatchStale:
+	case distributor.Stale:
 		return withCode(ExitStale, errors.Errorf("the configuration has version %d now; write the patch against it", result.Version))
-	case administrator.PatchUnknown:
-		return withCode(ExitUnknown, errors.Errorf("the outcome is unknown; ask again with --patch-id=%s", id))
-	case administrator.PatchInvalid:
+	case distributor.Unknown:
+		return withCode(ExitUnknown, errors.Errorf("the outcome is unknown; ask again with --again --patch-id=%s", id))
+	case distributor.Invalid:
 		return withCode(ExitUsage, errors.New("the patched configuration is not valid; nothing was applied"))
 	}
-	return errors.Errorf("nothing was applied: %s", result.Message)
+	return errors.Errorf("nothing was applied: %s", result.Reason)
 }
 
 func (c *console) configHistory(ctx context.Context, limit int) error {
@@ -128,12 +140,12 @@
 		_, err = c.out.Write(a.body)
 		return errors.Wrap(err, "write history")
 	}
-	var entries []administrator.HistoryEntry
+	var entries []distributor.Entry
 	if err := json.Unmarshal(a.body, &entries); err != nil {
 		return errors.Wrap(err, "read daemon's answer")
 	}
 	for _, entry := range entries {
-		fmt.Fprintf(c.out, "%d\t%s\t%s\t%s\n", entry.Version, entry.At.Format("2006-01-02T15:04:05Z07:00"), entry.ID, entry.Patch)
+		fmt.Fprintf(c.out, "%d\t%s\t%s\t%s\t%s\n", entry.Version, entry.At.Format(time.RFC3339), entry.By, entry.ID, entry.Patch)
 	}
 	return nil
 }
--- a/commander/status.go
+++ b/commander/status.go
@@ -44,9 +44,9 @@
 	fmt.Fprintf(c.out, "host %s in %s, version %s, configuration %d, state %s, requests %d\n",
 		s.Host, s.DataCentre, s.Version, s.Configuration, s.State, s.Requests)
 	table := tabwriter.NewWriter(c.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "PEER\tDATA CENTRE\tSTATE\tCONFIGURATION\tHEARD")
+	fmt.Fprintln(table, "PEER\tDATA CENTRE\tSTATE\tCONFIGURATION")
 	for _, p := range s.Peers {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\n", p.Host, p.DataCentre, p.State, p.Configuration, p.Heard.Std().Round(time.Millisecond))
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\n", p.Host, p.DataCentre, p.State, p.Configuration)
 	}
 	fmt.Fprintln(table, "ENDPOINT\tSERVICE\tDATA CENTRE\tSTATE\tROLE\tRUNNING\tWAITING\tREPORT AGE")
 	for _, e := range s.Endpoints {
--- /dev/null
+++ b/decoder/paths.go
@@ -0,0 +1,35 @@
+package decoder
+
+import (
+	"encoding"
+	"reflect"
+)
+
+// Paths returns the path of every field that a document type has, in the order of declaration.
+// "*" stands for the keys of a map and the elements of an array. Reference pages are checked against it.
+func Paths(document any) []string {
+	var paths []string
+	collectPaths(&paths, "", reflect.TypeOf(document))
+	return paths
+}
+
+var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func collectPaths(paths *[]string, path string, t reflect.Type) {
+	if reflect.PointerTo(t).Implements(textType) {
+		return
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		for i := range t.NumField() {
+			if name := jsonName(t.Field(i)); name != "" {
+				*paths = append(*paths, path+"/"+name)
+				collectPaths(paths, path+"/"+name, t.Field(i).Type)
+			}
+		}
+	case reflect.Map, reflect.Slice:
+		collectPaths(paths, path+"/*", t.Elem())
+	case reflect.Pointer:
+		collectPaths(paths, path, t.Elem())
+	}
+}
