--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -110,7 +110,7 @@
 
 func (a *Administrator) getConfiguration(w http.ResponseWriter, _ *http.Request) {
 	snapshot := a.Configuration.Snapshot()
-	if snapshot == nil {
+	if snapshot == nil || snapshot.Version() == 0 {
 		refuse(w, http.StatusNotFound, "there is no configuration yet")
 		return
 	}
--- a/assembler/fleet.go
+++ b/assembler/fleet.go
@@ -103,9 +103,6 @@
 	for _, name := range slices.Sorted(maps.Keys(document.Services)) {
 		fleet.Services = append(fleet.Services, serviceView(name, document.Services[name]))
 	}
-	for _, name := range slices.Sorted(maps.Keys(document.Models)) {
-		fleet.Models = append(fleet.Models, decider.ModelView{Name: name, KVBytes: document.Models[name].KVBytes})
-	}
 	for _, name := range slices.Sorted(maps.Keys(document.Endpoints)) {
 		e := document.Endpoints[name]
 		role := e.Role
--- a/commander/dev.go
+++ b/commander/dev.go
@@ -134,7 +134,7 @@
 func (d *demonstration) startFakes(ctx context.Context, group *errgroup.Group) error {
 	fakes := map[netip.AddrPort]http.Handler{
 		d.store:    &imitator.StoreHandler{Store: &imitator.Store{}},
-		d.ordering: &imitator.ServiceHandler{Service: &imitator.Service{}},
+		d.ordering: &imitator.Service{},
 	}
 	for _, address := range d.engines {
 		fakes[address] = &imitator.EngineHandler{Engine: &imitator.Engine{
--- a/server/server.go
+++ b/server/server.go
@@ -59,7 +59,7 @@
 }
 
 // Ready reports whether the balancer should send requests here.
-func (s *Server) Ready() bool { return !s.draining.Load() && s.Snapshot() != nil }
+func (s *Server) Ready() bool { return !s.draining.Load() && s.configured() }
 
 // SetDraining makes the server unready. Requests are still accepted until the listener closes, since
 // the balancer needs time to notice.
@@ -103,7 +103,7 @@
 			return
 		}
 		snapshot := s.Snapshot()
-		if snapshot == nil {
+		if snapshot == nil || snapshot.Version() == 0 {
 			s.refuse(w, refusal{Outcome: classifier.NoConfiguration, Message: "this daemon has no configuration yet"})
 			return
 		}
@@ -117,3 +117,9 @@
 		handle(&exchange{w: w, r: r, snapshot: snapshot, name: name, caller: caller})
 	}
 }
+
+// configured reports whether a configuration is in force. Version 0 is the empty one of a new fleet.
+func (s *Server) configured() bool {
+	snapshot := s.Snapshot()
+	return snapshot != nil && snapshot.Version() > 0
+}
