--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,7 +48,6 @@
 	Log     zerolog.Logger
 	Tick    time.Duration // how often time is reported to the core; 0 means DefaultTick
 
-	view    atomic.Pointer[View]
 	inbox   chan message
 	done    chan struct{}
 	once    sync.Once
@@ -60,7 +58,7 @@
 type message struct {
 	arrive *Ticket
 	event  *decider.Event
-	view   *View
+	fleet  *decider.Fleet
 }
 
 func (d *Dispatcher) init() {
@@ -109,8 +107,8 @@
 func (d *Dispatcher) handle(m message) {
 	now := time.Now()
 	switch {
-	case m.view != nil:
-		d.Core.Configure(now, m.view.Fleet())
+	case m.fleet != nil:
+		d.Core.Configure(now, *m.fleet)
 	case m.arrive != nil:
 		t := m.arrive
 		asserter.Check(d.tickets[t.request.ID] == nil, "a request arrives once", "%+v", t.request)
@@ -151,18 +149,15 @@
 	}
 }
 
-// Configure publishes a view of the configuration and the fleet and passes it to the core.
-func (d *Dispatcher) Configure(ctx context.Context, view *View) error {
-	d.view.Store(view)
-	return d.send(ctx, message{view: view})
+// Configure gives the core a new fleet.
+func (d *Dispatcher) Configure(ctx context.Context, fleet decider.Fleet) error {
+	return d.send(ctx, message{fleet: &fleet})
 }
 
-// View returns the last published view, or nil.
-func (d *Dispatcher) View() *View { return d.view.Load() }
-
-// Observe passes news about an endpoint to the core: load, cache or health.
-func (d *Dispatcher) Observe(ctx context.Context, e decider.Event) error {
-	return d.send(ctx, message{event: &e})
+// Report gives news to the core. It waits only while the inbox is full, which the control goroutine
+// empties until it stops.
+func (d *Dispatcher) Report(e decider.Event) {
+	d.send(context.Background(), message{event: &e}) // a stopped dispatcher has forgotten everything
 }
 
 func (d *Dispatcher) send(ctx context.Context, m message) error {
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -16,8 +16,8 @@
 	actions    chan decider.Action
 }
 
-// Arrive brings a request to the core.
-func (d *Dispatcher) Arrive(ctx context.Context, r decider.Request) (*Ticket, error) {
+// Submit brings a request to the core.
+func (d *Dispatcher) Submit(ctx context.Context, r decider.Request) (*Ticket, error) {
 	t := &Ticket{request: r, dispatcher: d, actions: make(chan decider.Action, maxActions)}
 	if err := d.send(ctx, message{arrive: t}); err != nil {
 		return nil, err
@@ -50,8 +50,7 @@
 // Cancelled reports that the request has ended in another way, for example because its caller is gone.
 func (t *Ticket) Cancelled() { t.report(decider.Event{Kind: decider.EventCancelled}) }
 
-// report can't be given up when the caller is gone, since the core would count the request for ever.
 func (t *Ticket) report(e decider.Event) {
 	e.Request = t.request.ID
-	t.dispatcher.send(context.Background(), message{event: &e}) // a stopped dispatcher has forgotten the request
+	t.dispatcher.Report(e)
 }
--- a/server/complete.go
+++ b/server/complete.go
@@ -19,22 +19,18 @@
 // models answers with the models of the services that the caller may use.
 func (x *exchange) models() {
 	type model struct {
-		ID      namer.Model `json:"id"`
-		Object  string      `json:"object"`
-		Created int64       `json:"created"`
-		OwnedBy string      `json:"owned_by"`
+		ID      string        `json:"id"`
+		Object  string        `json:"object"`
+		Created int64         `json:"created"`
+		OwnedBy namer.Service `json:"owned_by"`
 	}
 	list := struct {
 		Object string  `json:"object"`
 		Data   []model `json:"data"`
 	}{Object: "list", Data: []model{}}
-	seen := map[namer.Model]bool{}
 	for _, service := range x.caller.Services {
-		for _, name := range x.view.Snapshot.Models(service) {
-			if !seen[name] {
-				seen[name] = true
-				list.Data = append(list.Data, model{ID: name, Object: "model", OwnedBy: string(service)})
-			}
+		for _, name := range x.snapshot.Models(service) {
+			list.Data = append(list.Data, model{ID: string(service) + "/" + string(name), Object: "model", OwnedBy: service})
 		}
 	}
 	body, _ := json.Marshal(list) // strings and numbers only, which always encode
@@ -55,7 +51,7 @@
 		x.refuse(classifier.BadRequest, err.Error())
 		return
 	}
-	name, service, ok := x.modelService(c.Model)
+	name, service, ok := x.modelService(c)
 	if !ok {
 		return
 	}
@@ -74,7 +70,7 @@
 	}
 	ctx, stop := x.until(request.Deadline)
 	defer stop()
-	ticket, err := x.server.Dispatcher.Arrive(ctx, request)
+	ticket, err := x.server.Dispatcher.Submit(ctx, request)
 	if err != nil {
 		x.refuse(classifier.Draining, "")
 		return
@@ -91,12 +87,12 @@
 func (x *exchange) readBody() ([]byte, bool) {
 	limit := int64(0)
 	for _, name := range x.caller.Services {
-		if s := x.view.Snapshot.Document().Services[name]; s.Kind == configurer.KindModel {
+		if s := x.snapshot.Document().Services[name]; s.Kind == configurer.KindModel {
 			limit = max(limit, maxBody(s))
 		}
 	}
 	control := http.NewResponseController(x.w)
-	control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	control.SetReadDeadline(time.Now().Add(cmp.Or(x.server.BodyTimeout, DefaultBodyTimeout)))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
@@ -109,31 +105,57 @@
 	return body, err == nil
 }
 
-// modelService returns the first of the caller's services that offers a model.
-func (x *exchange) modelService(model namer.Model) (namer.Service, configurer.Service, bool) {
-	snapshot := x.view.Snapshot
+// modelService returns the service that a completion names as "service/model", or the only one of the
+// caller's services that offers the model.
+func (x *exchange) modelService(c *completion) (namer.Service, configurer.Service, bool) {
+	services := x.snapshot.Document().Services
+	var found []namer.Service
 	for _, name := range x.caller.Services {
-		if snapshot.Offers(name, model) {
-			return name, snapshot.Document().Services[name], true
+		if (c.Service == "" || c.Service == name) && x.snapshot.Offers(name, c.Model) {
+			found = append(found, name)
 		}
 	}
-	for name := range snapshot.Document().Services {
-		if snapshot.Offers(name, model) {
-			x.refuse(classifier.Forbidden, "the caller may not use a service with this model")
-			return "", configurer.Service{}, false
-		}
+	switch {
+	case len(found) == 1:
+		return found[0], services[found[0]], true
+	case len(found) > 1:
+		x.refuse(classifier.BadRequest, "several services offer the model; name it as service/model, as GET /v1/models does")
+	case x.offered(c):
+		x.refuse(classifier.Forbidden, "the caller may not use the service that offers the model")
+	default:
+		x.refuse(classifier.NotFound, "the model does not exist")
 	}
-	x.refuse(classifier.NotFound, "the model does not exist")
 	return "", configurer.Service{}, false
 }
 
+// offered reports whether any service offers the model of a completion.
+func (x *exchange) offered(c *completion) bool {
+	for name := range x.snapshot.Document().Services {
+		if (c.Service == "" || c.Service == name) && x.snapshot.Offers(name, c.Model) {
+			return true
+		}
+	}
+	return false
+}
+
 // target returns the address of an endpoint in the view of this request, or in the newest one when
 // the endpoint was added later.
 func (x *exchange) target(name namer.Endpoint) (generator.Target, bool) {
-	e, ok := x.view.Snapshot.Document().Endpoints[name]
+	e, ok := x.snapshot.Document().Endpoints[name]
 	if !ok {
-		x.view = x.server.Dispatcher.View()
-		e, ok = x.view.Snapshot.Document().Endpoints[name]
+		x.snapshot = x.server.Snapshot()
+		e, ok = x.snapshot.Document().Endpoints[name]
 	}
 	return generator.Target{Endpoint: name, Address: e.Address}, ok
 }
+
+// Targets returns all engines of a service with their addresses. Leaving ones are included, because
+// streams go on there.
+func Targets(snapshot *configurer.Snapshot, service namer.Service) []generator.Target {
+	names := snapshot.Endpoints(service)
+	targets := make([]generator.Target, 0, len(names))
+	for _, name := range names {
+		targets = append(targets, generator.Target{Endpoint: name, Address: snapshot.Document().Endpoints[name].Address})
+	}
+	return targets
+}
--- a/server/completion.go
+++ b/server/completion.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-json-experiment/json"
@@ -18,6 +20,7 @@
 
 // completion is a decoded body of the OpenAI-compatible API, as far as the daemon needs it.
 type completion struct {
+	Service   namer.Service // empty unless the model is named as "service/model"
 	Model     namer.Model
 	Stream    bool
 	Usage     bool // the caller wants usage in the stream
@@ -42,9 +45,6 @@
 	if len(fields.model) == 0 {
 		return nil, errors.New("/model: a model is required")
 	}
-	if err := json.Unmarshal(fields.model, &c.Model); err != nil {
-		return nil, errors.New("/model: expected the name of a model")
-	}
 	prompt, name := fields.messages, "/messages"
 	if operation == generator.Completions {
 		prompt, name = fields.prompt, "/prompt"
@@ -99,6 +99,7 @@
 	switch name {
 	case "model":
 		fields.model = value
+		return c.setModel(value)
 	case "prompt":
 		fields.prompt = value
 	case "messages":
@@ -129,6 +130,23 @@
 	return nil
 }
 
+// setModel splits "service/model"; the engine knows only the model.
+func (c *completion) setModel(value jsontext.Value) error {
+	var name string
+	if json.Unmarshal(value, &name) != nil {
+		return errors.New("/model: expected the name of a model")
+	}
+	service, model, split := strings.Cut(name, "/")
+	if !split {
+		service, model = "", name
+	}
+	if split && c.Service.UnmarshalText([]byte(service)) != nil || c.Model.UnmarshalText([]byte(model)) != nil {
+		return errors.New("/model: expected the name of a model, or of a service and a model with a slash between them")
+	}
+	c.Body = append(appendMember(c.Body, "model", nil), strconv.Quote(model)...)
+	return nil
+}
+
 func plain(err error) error {
 	if err != nil {
 		return errors.New("value is not valid")
--- a/server/daemon_test.go
+++ b/server/daemon_test.go
@@ -6,10 +6,13 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/matryer/is"
@@ -76,40 +79,89 @@
 
 // daemon is the part of a daemon that serves callers.
 type daemon struct {
-	server  *server.Server
-	url     string
-	stop    context.CancelFunc
-	metrics *recorder.Metrics
+	server      *server.Server
+	http        *http.Server
+	connections *connections
+	url         string
 }
 
-// start runs a daemon until the test ends or stop is called, which drains it.
+// connections is a listener whose connections can be cut as those of a killed process are.
+type connections struct {
+	net.Listener
+	mu   sync.Mutex // guards open
+	open []net.Conn
+}
+
+func (c *connections) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err == nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.open = append(c.open, conn)
+	}
+	return conn, err
+}
+
+func (c *connections) kill() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.open {
+		conn.Close()
+	}
+}
+
+// start runs a daemon until the test ends.
 func (f *far) start(t testing.TB, adjust ...func(*server.Server)) *daemon {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	d := &dispatcher.Dispatcher{Core: &decider.Core{}}
 	control, stopControl := context.WithCancel(context.Background())
 	go d.Run(control)
-	view := &dispatcher.View{Snapshot: configurer.NewSnapshot(1, f.document), DataCentre: "dc", Hosts: 1}
-	is.New(t).NoErr(d.Configure(t.Context(), view))
+	snapshot := configurer.NewSnapshot(1, f.document)
+	is.New(t).NoErr(d.Configure(t.Context(), fleet(f.document)))
 	engine := &generator.Client{}
 	s := &server.Server{
-		Listener: listener, Dispatcher: d, Engine: engine, Service: &forwarder.Client{}, Metrics: recorder.NewMetrics(), Log: zerolog.Nop(),
+		Snapshot: func() *configurer.Snapshot { return snapshot }, Dispatcher: d, Engine: engine, Service: &forwarder.Client{},
+		Metrics: recorder.NewMetrics(), Log: zerolog.Nop(),
 		Signer: &resumer.Signer{Keys: [][]byte{[]byte("a key that all daemons share")}},
-		Finder: &resumer.Resumer{Engine: engine, Endpoints: func(s namer.Service) []generator.Target { return d.View().Targets(s) }},
+		Finder: &resumer.Resumer{Engine: engine, Endpoints: func(s namer.Service) []generator.Target { return server.Targets(snapshot, s) }},
 		Leaver: &resumer.Canceller{Engine: engine},
 	}
 	for _, a := range adjust {
 		a(s)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	go s.Run(ctx)
+	cut := &connections{Listener: listener}
+	near := &http.Server{Handler: s.Handler()}
+	go near.Serve(cut)
 	t.Cleanup(func() {
-		stop()
-		<-s.Done()
+		near.Close()
+		is.New(t).NoErr(s.Wait(context.Background()))
 		stopControl()
 		<-d.Done()
 	})
-	return &daemon{server: s, url: "http://" + listener.Addr().String(), stop: stop, metrics: s.Metrics}
+	return &daemon{server: s, http: near, connections: cut, url: "http://" + listener.Addr().String()}
+}
+
+// fleet describes the endpoints of a document to the core.
+func fleet(document *configurer.Document) decider.Fleet {
+	f := decider.Fleet{DataCentre: "dc", Hosts: 1}
+	for name, s := range document.Services {
+		view := decider.ServiceView{Name: name, Plain: s.Kind == configurer.KindPlain, Deadline: s.Deadline.Std()}
+		for _, rank := range []namer.Rank{"urgent", "free"} {
+			if r, ok := s.Ranks[rank]; ok {
+				view.Ranks = append(view.Ranks, decider.RankView{Name: rank, FirstToken: r.FirstToken.Std(), Share: r.Share, QueueLimit: r.QueueLimit})
+			}
+		}
+		f.Services = append(f.Services, view)
+	}
+	for _, name := range slices.Sorted(maps.Keys(document.Endpoints)) {
+		e := document.Endpoints[name]
+		f.Endpoints = append(f.Endpoints, decider.EndpointView{
+			Name: name, Service: e.Service, Models: e.Models, DataCentre: e.DataCentre, Role: namer.RoleMixed,
+			Concurrency: max(e.Concurrency, configurer.DefaultConcurrency),
+		})
+	}
+	return f
 }
 
 var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -12,7 +12,6 @@
 	"apricotspool/asserter"
 	"apricotspool/classifier"
 	"apricotspool/configurer"
-	"apricotspool/dispatcher"
 	"apricotspool/namer"
 	"apricotspool/resumer"
 )
@@ -30,17 +29,17 @@
 
 // exchange is one request of a caller and its answer. Its goroutine owns it.
 type exchange struct {
-	server  *Server
-	w       http.ResponseWriter
-	r       *http.Request
-	began   time.Time
-	view    *dispatcher.View
-	name    namer.Caller
-	caller  configurer.Caller
-	id      resumer.Identity
-	started bool               // the header of the answer has been written
-	outcome classifier.Outcome // set once, by finish
-	cut     bool               // the connection must break, because the answer is not complete
+	server   *Server
+	w        http.ResponseWriter
+	r        *http.Request
+	began    time.Time
+	snapshot *configurer.Snapshot
+	name     namer.Caller
+	caller   configurer.Caller
+	id       resumer.Identity
+	started  bool               // the header of the answer has been written
+	outcome  classifier.Outcome // set once, by finish
+	cut      bool               // the connection must break, because the answer is not complete
 }
 
 func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
@@ -69,14 +68,15 @@
 
 // authenticate finds the caller by the sum of its token.
 func (x *exchange) authenticate() bool {
-	x.view = x.server.Dispatcher.View()
-	if x.view == nil {
+	x.snapshot = x.server.Snapshot()
+	if !configured(x.snapshot) {
 		x.refuse(classifier.NoConfiguration, "")
 		return false
 	}
 	scheme, token, _ := strings.Cut(x.r.Header.Get("Authorization"), " ")
-	name, caller, known := x.view.Snapshot.Caller(configurer.SumToken(strings.TrimSpace(token)))
+	name, caller, known := x.snapshot.Caller(configurer.SumToken(strings.TrimSpace(token)))
 	if !strings.EqualFold(scheme, "Bearer") || !known {
+		x.w.Header().Set("WWW-Authenticate", "Bearer")
 		x.refuse(classifier.Unauthenticated, "")
 		return false
 	}
--- a/server/forward.go
+++ b/server/forward.go
@@ -89,7 +89,7 @@
 	below := strings.TrimPrefix(x.r.URL.EscapedPath(), "/services/")
 	segment, path, _ := strings.Cut(below, "/")
 	name := namer.Service(segment)
-	service, ok := x.view.Snapshot.Document().Services[name]
+	service, ok := x.snapshot.Document().Services[name]
 	if !ok || service.Kind != configurer.KindPlain {
 		x.refuse(classifier.NotFound, "the service does not exist")
 		return nil, false
@@ -121,7 +121,7 @@
 
 // nonIdempotent compares the path as it is and decoded, since the service may treat both alike.
 func (f *forwarding) nonIdempotent() bool {
-	snapshot := f.x.view.Snapshot
+	snapshot := f.x.snapshot
 	decoded, err := url.PathUnescape(f.call.Path)
 	return snapshot.NonIdempotent(f.name, f.call.Method, f.call.Path) ||
 		(err == nil && snapshot.NonIdempotent(f.name, f.call.Method, decoded))
--- a/server/resume.go
+++ b/server/resume.go
@@ -29,7 +29,7 @@
 		}
 		from = index + 1
 	}
-	service, ok := x.view.Snapshot.Document().Services[id.Service]
+	service, ok := x.snapshot.Document().Services[id.Service]
 	if !ok {
 		x.refuse(classifier.StreamGone, "the service does not exist any more")
 		return
--- a/server/resume_test.go
+++ b/server/resume_test.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"context"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,31 +16,6 @@
 	"apricotspool/server"
 )
 
-// connections is a listener whose connections can be cut as those of a killed process are.
-type connections struct {
-	net.Listener
-	mu   sync.Mutex // guards the fields below
-	open []net.Conn
-}
-
-func (c *connections) Accept() (net.Conn, error) {
-	conn, err := c.Listener.Accept()
-	if err == nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.open = append(c.open, conn)
-	}
-	return conn, err
-}
-
-func (c *connections) kill() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.open {
-		conn.Close()
-	}
-}
-
 // Guards against a stream that is lost with its daemon, and against chunks that are lost or doubled when
 // the caller goes on at another daemon (P4).
 func TestResumeAtAnotherDaemon(t *testing.T) {
@@ -54,8 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFar(t, &imitator.Engine{Interval: 200 * time.Microsecond}, &imitator.Engine{Interval: 200 * time.Microsecond})
-			cut := &connections{}
-			killed := f.start(t, func(s *server.Server) { cut.Listener, s.Listener = s.Listener, cut })
+			killed := f.start(t)
 			second := f.start(t)
 			response := killed.do(t, "POST", "/v1/chat/completions", chat(300, more), nil)
 			request := response.Header.Get("X-Request-Id")
@@ -64,7 +36,7 @@
 			got.read(t, in, 10)
 			between(f)
 			got.read(t, in, 30)
-			cut.kill()
+			killed.connections.kill()
 			got.read(t, in, -1) // what was on its way
 			is.True(!got.done)
 			resumed := second.do(t, "GET", "/v1/streams/"+request, "", map[string]string{"Last-Event-ID": got.last})
--- a/server/server.go
+++ b/server/server.go
@@ -4,17 +4,19 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"apricotspool/administrator"
 	"apricotspool/asserter"
 	"apricotspool/classifier"
+	"apricotspool/configurer"
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
 	"apricotspool/forwarder"
@@ -24,14 +26,8 @@
 	"apricotspool/resumer"
 )
 
-// Limits of the callers' listener.
-const (
-	MaxHeaderBytes    = 64 << 10
-	readHeaderTimeout = 10 * time.Second
-	bodyTimeout       = time.Minute // to read the body of a completion
-	idleTimeout       = 2 * time.Minute
-	closeTimeout      = 5 * time.Second // for idle connections, once no request is in flight
-)
+// DefaultBodyTimeout is the longest time for a caller to send the body of a completion.
+const DefaultBodyTimeout = time.Minute
 
 // Engine is the part of the engine adapter that serves requests.
 type Engine interface {
@@ -39,10 +35,9 @@
 	Cancel(ctx context.Context, to generator.Target, stream namer.StreamID) error
 }
 
-// Dispatcher brings requests to the decision core and knows the configuration in force.
+// Dispatcher brings requests to the decision core.
 type Dispatcher interface {
-	View() *dispatcher.View
-	Arrive(ctx context.Context, r decider.Request) (*dispatcher.Ticket, error)
+	Submit(ctx context.Context, r decider.Request) (*dispatcher.Ticket, error)
 }
 
 // Finder finds the engine that has a stream.
@@ -56,9 +51,10 @@
 	Return(stream namer.StreamID)
 }
 
-// Server serves callers. Set the exported fields before Run or ServeHTTP.
+// Server serves callers. Set the exported fields before use.
 type Server struct {
-	Listener   net.Listener // Run closes it
+	// Snapshot returns the configuration in force, or nil before there is one.
+	Snapshot   func() *configurer.Snapshot
 	Dispatcher Dispatcher
 	Engine     Engine
 	Service    forwarder.Service
@@ -68,106 +64,68 @@
 	Leaver     Leaver
 	Metrics    *recorder.Metrics
 	Log        zerolog.Logger
-
-	once     sync.Once
-	done     chan struct{}
-	mu       sync.Mutex // guards the fields below
-	draining bool
-	inFlight int
-	idle     chan struct{} // closed when draining and nothing is in flight
-}
-
-func (s *Server) init() {
-	s.once.Do(func() {
-		s.done = make(chan struct{})
-		s.idle = make(chan struct{})
+	// Requests is the most requests that are held at once, waiting ones included; 0 means no limit.
+	Requests int
+	// BodyTimeout is the longest time for a caller to send the body of a completion; 0 means DefaultBodyTimeout.
+	BodyTimeout time.Duration
+
+	draining atomic.Bool
+	held     atomic.Int64
+	active   sync.WaitGroup
+}
+
+// Handler returns the HTTP handler of the callers' listener.
+func (s *Server) Handler() http.Handler {
+	health := http.NewServeMux()
+	administrator.AddHealth(health, s.Ready)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" || r.URL.Path == "/readyz" {
+			health.ServeHTTP(w, r)
+			return
+		}
+		s.serve(w, r)
 	})
 }
 
-// Done closes when Run has returned.
-func (s *Server) Done() <-chan struct{} {
-	s.init()
-	return s.done
-}
+// Ready reports whether the balancer should send requests here.
+func (s *Server) Ready() bool { return !s.draining.Load() && configured(s.Snapshot()) }
 
-// Run serves until ctx ends. It then refuses new requests, finishes those in flight and returns. A
-// request takes no longer than its service's deadline, so the end is bounded.
-func (s *Server) Run(ctx context.Context) error {
-	s.init()
-	defer close(s.done)
-	far := &http.Server{
-		Handler: s, MaxHeaderBytes: MaxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-	}
-	failed := make(chan error, 1)
-	go func() { failed <- far.Serve(s.Listener) }()
-	select {
-	case err := <-failed:
-		return errors.Wrap(err, "serve callers")
-	case <-ctx.Done():
-	}
-	s.Drain()
-	far.SetKeepAlivesEnabled(false)
-	<-s.idle
-	closing, stop := context.WithTimeout(context.Background(), closeTimeout)
-	defer stop()
-	if err := far.Shutdown(closing); err != nil {
-		far.Close()
-	}
-	return ctx.Err()
-}
+// configured reports whether a configuration is in force. Version 0 is the empty one of a new fleet.
+func configured(s *configurer.Snapshot) bool { return s != nil && s.Version() > 0 }
 
-// Drain refuses all requests from now on; those in flight go on.
-func (s *Server) Drain() {
-	s.init()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining {
-		return
-	}
-	s.draining = true
-	if s.inFlight == 0 {
-		close(s.idle)
-	}
-}
+// SetDraining makes the server unready. Requests are still accepted until the listener closes, since
+// the balancer needs time to notice.
+func (s *Server) SetDraining() { s.draining.Store(true) }
 
-// InFlight returns the number of requests that are being served.
-func (s *Server) InFlight() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.inFlight
-}
+// Held returns how many accepted requests have not finished.
+func (s *Server) Held() int { return int(s.held.Load()) }
 
-func (s *Server) enter() bool {
-	s.init()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.draining {
-		return false
-	}
-	s.inFlight++
-	return true
-}
-
-func (s *Server) leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inFlight--
-	if s.draining && s.inFlight == 0 {
-		close(s.idle)
+// Wait returns when every accepted request has finished or ctx has ended. A request takes no longer
+// than its service's deadline.
+func (s *Server) Wait(ctx context.Context) error {
+	finished := make(chan struct{})
+	go func() {
+		s.active.Wait()
+		close(finished)
+	}()
+	select {
+	case <-finished:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "%d requests have not finished", s.Held())
 	}
 }
 
-// ServeHTTP serves one request.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// serve serves one request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	defer stopOnViolation()
+	s.active.Add(1)
+	defer s.active.Done()
+	defer s.held.Add(-1)
 	x := s.newExchange(w, r)
-	if !s.enter() {
-		w.Header().Set("Connection", "close")
-		x.refuse(classifier.Draining, "")
-		return
-	}
-	defer s.leave()
-	if x.authenticate() {
+	if s.held.Add(1) > int64(s.Requests) && s.Requests > 0 {
+		x.refuse(classifier.QueueFull, "this daemon holds too many requests")
+	} else if x.authenticate() {
 		x.route()
 	}
 	asserter.Check(x.outcome != "", "every request is answered", "%s %s", r.Method, r.URL.Path)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
@@ -103,7 +104,7 @@
 		answer.Choices = nil
 	}
 	models := text(t, daemon.do(t, "GET", "/v1/models", "", nil))
-	is.Equal(models, `{"object":"list","data":[{"id":"model","object":"model","created":0,"owned_by":"chat"}]}`)
+	is.Equal(models, `{"object":"list","data":[{"id":"chat/model","object":"model","created":0,"owned_by":"chat"}]}`)
 }
 
 // Guards against an engine failure, or chunks of other streams, that lose, double or change a part of
@@ -131,7 +132,7 @@
 		started int // streams that engines have begun; a broken connection alone begins no second one
 	}{
 		"crash":             {nil, func(f *far) { f.engines[0].Crash() }, 2},
-		"crash of both":       {nil, func(f *far) { f.engines[0].Crash(); f.engines[1].Crash() }, 2},
+		"crash of both":     {nil, func(f *far) { f.engines[0].Crash(); f.engines[1].Crash() }, 2},
 		"broken connection": {nil, func(f *far) { f.engines[0].BreakConnections() }, 1},
 		"doubled chunk":     {once(func(c generator.Chunk) []generator.Chunk { return []generator.Chunk{c, c} }), nil, 1},
 		"lost chunk":        {once(func(generator.Chunk) []generator.Chunk { return nil }), nil, 1},
@@ -218,19 +219,26 @@
 	for range streams {
 		<-begun
 	}
-	is.Equal(daemon.server.InFlight(), streams)
-	daemon.stop()
-	for refused := false; !refused; { // connections are still accepted
-		response := daemon.do(t, "POST", "/v1/chat/completions", chat(1, ""), nil)
-		refused = response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("X-Outcome") == "not-run"
-	}
+	is.Equal(daemon.server.Held(), streams)
+	is.Equal(daemon.do(t, "GET", "/readyz", "", nil).StatusCode, http.StatusOK)
+	daemon.server.SetDraining()
+	is.Equal(daemon.do(t, "GET", "/readyz", "", nil).StatusCode, http.StatusServiceUnavailable)
+	late := readAll(t, daemon.do(t, "POST", "/v1/chat/completions", chat(1, `,"stream":true`), nil))
+	is.True(late.done) // the balancer has not noticed yet
+	stopped := make(chan error, 1)
+	go func() { stopped <- daemon.http.Shutdown(context.Background()) }()
+	expired, stop := context.WithTimeout(t.Context(), 0)
+	defer stop()
+	is.True(daemon.server.Wait(expired) != nil)
 	release()
 	for range streams {
 		got := <-results
 		is.True(got.done)
 		is.Equal(got.chunks, want)
 	}
-	<-daemon.server.Done()
+	is.NoErr(<-stopped)
+	is.NoErr(daemon.server.Wait(t.Context()))
+	is.Equal(daemon.server.Held(), 0)
 }
 
 // Guards against a daemon that takes a slow caller's answer into its own memory, or lets it hold up others.
