Test the dispatcher's ownership and stop

Cause: the dispatcher had no test of its own. Change: a scripted core checks that one goroutine calls it, that actions reach their request and that a stop ends waiting requests. Before: covered only through the server.

--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,132 @@
+package dispatcher_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"apricotspool/classifier"
+	"apricotspool/decider"
+	"apricotspool/dispatcher"
+	"apricotspool/namer"
+)
+
+// script is a core that answers as its fields say and checks that one goroutine at a time calls it.
+type script struct {
+	mu      sync.Mutex // never contended when the dispatcher is right
+	shared  bool
+	events  []decider.Event
+	arrive  func(decider.Request) []decider.Action
+	observe func(decider.Event) []decider.Action
+	ticks   int
+}
+
+func (s *script) enter() func() {
+	if !s.mu.TryLock() {
+		s.shared = true
+		return func() {}
+	}
+	return s.mu.Unlock
+}
+
+func (s *script) Configure(time.Time, decider.Fleet) { defer s.enter()() }
+
+func (s *script) Arrive(_ time.Time, r decider.Request) []decider.Action {
+	defer s.enter()()
+	return s.arrive(r)
+}
+
+func (s *script) Observe(_ time.Time, e decider.Event) []decider.Action {
+	defer s.enter()()
+	s.events = append(s.events, e)
+	if s.observe == nil {
+		return nil
+	}
+	return s.observe(e)
+}
+
+func (s *script) Tick(time.Time) []decider.Action {
+	defer s.enter()()
+	s.ticks++
+	return nil
+}
+
+func dispatch(r decider.Request) []decider.Action {
+	return []decider.Action{{Kind: decider.ActionDispatch, Request: r.ID, Attempt: 1, Endpoint: "e"}}
+}
+
+type retries []classifier.RetryReason
+
+func (r *retries) Retry(reason classifier.RetryReason) { *r = append(*r, reason) }
+
+// Guards against a core that several goroutines call, against actions that reach another request, and
+// against events that get lost when many requests come at once.
+func TestOneOwnerForManyRequests(t *testing.T) {
+	is := is.New(t)
+	core := &script{arrive: dispatch, observe: func(e decider.Event) []decider.Action {
+		if e.Kind != decider.EventFailed {
+			return nil
+		}
+		return []decider.Action{{Kind: decider.ActionDispatch, Request: e.Request, Attempt: 2, Retry: e.Reason}}
+	}}
+	counted := &retries{}
+	d := &dispatcher.Dispatcher{Core: core, Retries: counted, Tick: time.Microsecond}
+	ctx, stop := context.WithCancel(t.Context())
+	go d.Run(ctx)
+	is.NoErr(d.Configure(ctx, decider.Fleet{}))
+	var group sync.WaitGroup
+	const requests = 200
+	failures := make(chan string, requests)
+	for range requests {
+		group.Go(func() {
+			id := namer.NewStreamID()
+			ticket, err := d.Submit(ctx, decider.Request{ID: id})
+			if err != nil {
+				failures <- err.Error()
+				return
+			}
+			first := <-ticket.Actions()
+			ticket.Started(1, "e")
+			ticket.Failed(1, "e", classifier.RetryStreamBroken, false, 3)
+			second := <-ticket.Actions()
+			if first.Request != id || second.Request != id || first.Attempt != 1 || second.Attempt != 2 {
+				failures <- "wrong action"
+			}
+			ticket.Finished(2, "e", 5)
+		})
+	}
+	group.Wait()
+	stop()
+	<-d.Done()
+	is.Equal(len(failures), 0)
+	is.True(!core.shared)
+	is.Equal(len(*counted), requests)
+	_, err := d.Submit(t.Context(), decider.Request{ID: namer.NewStreamID()})
+	is.Equal(err, dispatcher.ErrStopped)
+}
+
+// Guards against requests that wait for ever when the dispatcher stops, and against a stop that a
+// request holds up.
+func TestStopEndsWaitingRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		core := &script{arrive: func(decider.Request) []decider.Action { return nil }}
+		d := &dispatcher.Dispatcher{Core: core, Tick: 10 * time.Millisecond}
+		ctx, stop := context.WithCancel(t.Context())
+		go d.Run(ctx)
+		ticket, err := d.Submit(ctx, decider.Request{ID: namer.NewStreamID()})
+		is.NoErr(err)
+		time.Sleep(95 * time.Millisecond)
+		synctest.Wait()
+		is.Equal(core.ticks, 9)
+		stop()
+		_, open := <-ticket.Actions()
+		is.True(!open)
+		<-ticket.Stopped()
+		ticket.Cancelled() // does not block
+	})
+}
