--- a/server/daemon_test.go
+++ b/server/daemon_test.go
@@ -257,3 +257,7 @@
 	is.New(t).NoErr(err)
 	return string(body)
 }
+
+func withEngine(engine server.Engine) func(*server.Server) {
+	return func(s *server.Server) { s.Engine = engine }
+}
