Add engine roles, prefix cache, crashes, floods and shifts of the mix

Cause: the core can't be tuned for floods and mix shifts, since the only schedule is a steady one on mixed engines. Load is now relative to the fluid capacity of the engines' best rates (modeler.Class.LeastCost); the calibration of mixed engines is printed in it. Mechanisms off, each makes a test fail: export time, prefix match, refusal while draining, import of the cache, loss of a role change in a crash, continuation after delivered tokens, and priorities in the flood.

--- a/experimenter/driver.go
+++ b/experimenter/driver.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/modeler"
 	"apricotspool/namer"
@@ -18,6 +17,12 @@
 	reportPeriod = time.Second
 	// tickPeriod is the time between two ticks of a policy.
 	tickPeriod = 20 * time.Millisecond
+	// disseminationTime is how long gossip takes to tell every host that an engine changes its role.
+	disseminationTime = 500 * time.Millisecond
+	// cacheLag is the age of cache events when they reach the hosts.
+	cacheLag = 2 * time.Second
+	// cacheLoss is the part of the cache events that is lost.
+	cacheLoss = 0.02
 )
 
 // epoch is the time of day at which every run starts.
@@ -30,15 +35,27 @@
 	engines  map[namer.Endpoint]*engine
 	names    []namer.Endpoint
 	hosts    []*host
-	requests map[namer.StreamID]*request
+	requests map[namer.StreamID]*request // without an outcome
 	result   *Result
+	random   *rand.Rand // of losses and of the durations of role changes
+	balancer *rand.Rand
+	planner  Planner
+	demand   demand
+	cut      namer.DataCentre // partitioned from the others; empty when there is none
 }
 
 // engine is a modelled engine in its place.
 type engine struct {
 	modeler.Engine
+	placed     Placed
 	dataCentre namer.DataCentre
 	wake       time.Duration // of the earliest pending timer; below 0 when there is none
+	inbound    int           // KV caches that other engines prepare for this one
+	leaving    bool          // as disseminated
+	role       namer.Role    // as disseminated
+	next       namer.Role    // the role that a drain prepares; empty when there is none
+	cacheLost  bool
+	changes    int // role changes since the last shift of the mix
 }
 
 // host is a deciding host in its place.
@@ -47,15 +64,6 @@
 	dataCentre namer.DataCentre
 }
 
-// request is one request on its way.
-type request struct {
-	arrival     Arrival
-	host        *host
-	first, last time.Duration // as seen by the host
-	output      namer.Tokens
-	outcome     classifier.Outcome
-}
-
 // Run plays a schedule under a policy and returns what was measured.
 func Run(s Schedule, c Contender) *Result {
 	r := &run{
@@ -63,21 +71,32 @@
 		engines:  map[namer.Endpoint]*engine{},
 		requests: map[namer.StreamID]*request{},
 		result:   newResult(s, c.Name),
+		random:   rand.New(rand.NewPCG(s.Seed, 5)),
+		balancer: rand.New(rand.NewPCG(s.Seed, 2)),
 	}
 	r.place(c)
-	balancer := rand.New(rand.NewPCG(s.Seed, 2))
 	for n, a := range s.Arrivals {
 		stream := namer.StreamID(fmt.Sprintf("%032x", n))
-		h := r.hosts[balancer.IntN(len(r.hosts))]
-		r.at(a.At, func() { r.arrive(stream, a, h) })
+		r.at(a.At, func() { r.ask(&request{stream: stream, arrival: a}) })
 	}
 	for _, name := range r.names {
-		r.at(0, func() { r.report(r.engines[name]) })
+		r.at(r.engines[name].placed.From, func() { r.report(r.engines[name]) })
 	}
 	for _, h := range r.hosts {
 		r.at(0, func() { r.tick(h) })
 	}
-	r.runUntil(s.Length + s.Site.Service.Deadline)
+	for _, f := range s.Faults {
+		r.plan(f)
+	}
+	for _, shift := range s.Shifts {
+		r.at(shift, r.shift)
+	}
+	if c.Planner != nil {
+		r.planner = c.Planner()
+		r.at(planPeriod, r.planRoles)
+	}
+	r.runUntil(s.Length + s.Site.Service.Deadline + time.Second)
+	r.shift()
 	for _, q := range r.requests {
 		r.result.add(q)
 	}
@@ -87,51 +106,76 @@
 // place sets up engines and hosts, spread over the data centres.
 func (r *run) place(c Contender) {
 	site := r.schedule.Site
-	for n := range site.Engines {
-		name := namer.Endpoint(fmt.Sprintf("engine-%d", n))
-		e := &engine{dataCentre: site.DataCentres[n%len(site.DataCentres)], wake: -1}
-		e.Name, e.Class = name, site.Class
-		r.engines[name] = e
-		r.names = append(r.names, name)
+	for n, p := range site.Engines {
+		e := &engine{placed: p, dataCentre: site.DataCentres[n%len(site.DataCentres)], wake: -1}
+		e.Name, e.Class, e.Role = site.name(n), p.Class, namer.RoleMixed
+		if c.Roles != nil {
+			e.Role = c.Roles(n)
+		}
+		e.role = e.Role
+		r.engines[e.Name] = e
+		r.names = append(r.names, e.Name)
 	}
 	for n := range site.Hosts {
 		h := &host{policy: c.New(r.schedule.Seed + uint64(n)), dataCentre: site.DataCentres[n%len(site.DataCentres)]}
-		h.policy.Configure(r.time(), r.fleet(h))
 		r.hosts = append(r.hosts, h)
 	}
+	r.configure()
+	for _, p := range site.Engines {
+		if p.From > 0 {
+			r.at(p.From, r.configure)
+		}
+	}
+}
+
+// configure gives every host the present configuration.
+func (r *run) configure() {
+	for _, h := range r.hosts {
+		h.policy.Configure(r.time(), r.fleet(h))
+	}
 }
 
-// fleet returns what the configuration says to a host.
+// fleet returns what is known to a host about the fleet apart from its load.
 func (r *run) fleet(h *host) decider.Fleet {
 	site := r.schedule.Site
 	fleet := decider.Fleet{DataCentre: h.dataCentre, Hosts: site.Hosts, Services: []decider.ServiceView{site.Service}}
 	for _, name := range r.names {
 		e := r.engines[name]
-		fleet.Endpoints = append(fleet.Endpoints, decider.EndpointView{
-			Name: name, Service: service, Models: []namer.Model{model}, DataCentre: e.dataCentre,
-			Distance: r.distance(h, e), Role: namer.RoleMixed, Concurrency: e.Class.MaxSequences,
-			PrefillRate: e.Class.PrefillRate(), DecodeRate: e.Class.DecodeRate(),
-		})
+		if e.placed.From > r.now {
+			continue
+		}
+		view := decider.EndpointView{
+			Name: name, Service: service, Models: []namer.Model{e.placed.Model}, DataCentre: e.dataCentre,
+			Distance: r.distance(h.dataCentre, e.dataCentre), Role: e.role, Leaving: e.leaving,
+			Concurrency: e.Class.MaxSequences,
+		}
+		if !e.placed.NoPriors {
+			view.PrefillRate, view.DecodeRate = e.Class.PrefillRate(), e.Class.DecodeRate()
+		}
+		fleet.Endpoints = append(fleet.Endpoints, view)
 	}
 	return fleet
 }
 
 func (r *run) time() time.Time { return epoch.Add(r.now) }
 
-func (r *run) distance(h *host, e *engine) time.Duration {
-	if h.dataCentre == e.dataCentre {
+func (r *run) distance(a, b namer.DataCentre) time.Duration {
+	if a == b {
 		return localDistance
 	}
 	return r.schedule.Site.Distance
 }
 
-func (r *run) arrive(stream namer.StreamID, a Arrival, h *host) {
-	r.requests[stream] = &request{arrival: a, host: h}
-	r.act(h, h.policy.Arrive(r.time(), decider.Request{
-		ID: stream, Caller: namer.Caller(a.Workload.Rank), Service: service, Model: model, Rank: a.Workload.Rank,
-		Idempotent: true, PromptTokens: a.Prompt, MaxTokens: answerLimit * a.Output,
-		Deadline: r.time().Add(r.schedule.Site.Service.Deadline),
-	}))
+// reachable reports whether messages pass between two data centres now.
+func (r *run) reachable(a, b namer.DataCentre) bool {
+	return a == b || (a != r.cut && b != r.cut)
+}
+
+// send runs the function at the other end after the distance, unless the message is lost.
+func (r *run) send(from, to namer.DataCentre, late time.Duration, run func()) {
+	if r.reachable(from, to) {
+		r.at(r.now+r.distance(from, to)+late, run)
+	}
 }
 
 func (r *run) tick(h *host) {
@@ -139,85 +183,39 @@
 	r.at(r.now+tickPeriod, func() { r.tick(h) })
 }
 
-// report sends an engine's load to all hosts; it arrives with the schedule's lag.
+// report sends an engine's load and cache events to all hosts; the load arrives with the schedule's lag.
 func (r *run) report(e *engine) {
+	r.at(r.now+reportPeriod, func() { r.report(e) })
+	if e.Down() {
+		r.broadcast(e, 0, decider.Event{Kind: decider.EventHealth, Endpoint: e.Name})
+		return
+	}
 	load := e.Load(r.now)
-	event := decider.Event{Kind: decider.EventLoad, Endpoint: e.Name, Load: decider.Load{
+	r.broadcast(e, r.schedule.ReportLag, decider.Event{Kind: decider.EventLoad, Endpoint: e.Name, Load: decider.Load{
 		At: epoch.Add(load.At), Running: load.Running, Waiting: load.Waiting,
-		WaitingPrefill: load.WaitingPrefill, KVUsed: load.KVUsed, Role: load.Role,
-	}}
-	for _, h := range r.hosts {
-		r.at(r.now+r.distance(h, e)+r.schedule.ReportLag, func() { r.observe(h, event) })
-	}
-	r.at(r.now+reportPeriod, func() { r.report(e) })
-}
-
-func (r *run) observe(h *host, e decider.Event) {
-	r.act(h, h.policy.Observe(r.time(), e))
-}
-
-// act carries out a host's decisions.
-func (r *run) act(h *host, actions []decider.Action) {
-	for _, action := range actions {
-		q := r.requests[action.Request]
-		if action.Kind == decider.ActionRefuse {
-			q.outcome = action.Outcome
-			continue
-		}
-		e := r.engines[action.Endpoint]
-		r.at(r.now+r.distance(h, e), func() {
-			if action.Kind == decider.ActionCancel {
-				e.Cancel(r.now, action.Request)
-				return
-			}
-			r.submit(e, q, action)
-		})
+		WaitingPrefill: load.WaitingPrefill, KVUsed: load.KVUsed, Role: load.Role, Leaving: load.Leaving,
+	}})
+	change := e.TakeCacheChange()
+	if len(change.Added)+len(change.Dropped) == 0 && !change.Reset {
+		return
 	}
-}
-
-func (r *run) submit(e *engine, q *request, action decider.Action) {
-	accepted := e.Submit(r.now, modeler.Job{
-		Stream: action.Request, Attempt: action.Attempt, Prompt: q.arrival.Prompt,
-		Output: q.arrival.Output, Priority: action.Priority,
-	})
-	if !accepted {
-		refused := decider.Event{
-			Kind: decider.EventFailed, Request: action.Request, Attempt: action.Attempt, Endpoint: e.Name,
-			Reason: classifier.RetryEndpointRefused, NotRun: true,
-		}
-		r.at(r.now+r.distance(q.host, e), func() { r.observe(q.host, refused) })
+	if r.random.Float64() < cacheLoss {
+		e.cacheLost = true
 		return
 	}
-	r.follow(e)
+	r.broadcast(e, cacheLag, decider.Event{
+		Kind: decider.EventCache, Endpoint: e.Name, Added: change.Added, Dropped: change.Dropped,
+		Reset: change.Reset || e.cacheLost,
+	})
+	e.cacheLost = false
 }
 
-// follow delivers an engine's events and wakes it up at its next change.
-func (r *run) follow(e *engine) {
-	for _, event := range e.Advance(r.now) {
-		q := r.requests[event.Stream]
-		r.at(event.At+r.distance(q.host, e), func() { r.deliver(e, q, event) })
-	}
-	next, busy := e.Next()
-	if !busy || next == e.wake {
-		return
+func (r *run) broadcast(e *engine, late time.Duration, event decider.Event) {
+	for _, h := range r.hosts {
+		r.send(e.dataCentre, h.dataCentre, late, func() { r.observe(h, event) })
 	}
-	e.wake = next
-	r.at(next, func() {
-		e.wake = -1
-		r.follow(e)
-	})
 }
 
-// deliver tells the host about its request.
-func (r *run) deliver(e *engine, q *request, event modeler.Event) {
-	news := decider.Event{Request: event.Stream, Attempt: event.Attempt, Endpoint: e.Name, OutputTokens: event.Output}
-	switch event.Kind {
-	case modeler.JobStarted:
-		news.Kind = decider.EventStarted
-		q.first = r.now
-	case modeler.JobFinished:
-		news.Kind = decider.EventFinished
-		q.last, q.output, q.outcome = r.now, event.Output, classifier.Served
-	}
-	r.observe(q.host, news)
+func (r *run) observe(h *host, e decider.Event) {
+	r.act(h, h.policy.Observe(r.time(), e))
 }
--- a/experimenter/schedule.go
+++ b/experimenter/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"apricotspool/decider"
@@ -10,37 +11,42 @@
 	"apricotspool/namer"
 )
 
-// The ranks of all schedules, the most urgent first.
 const (
-	RankUrgent namer.Rank = "urgent"
-	RankFree   namer.Rank = "free"
+	// callers is the number of workspaces of each rank; requests are spread over them by Zipf's law.
+	callers = 300
+	// callerSkew is the exponent of that law: the busiest of 300 sends about 15% of the requests.
+	callerSkew = 1.1
+	// floodCallers send what a flood adds.
+	floodCallers = 5
+	// conversations is the number of open conversations among which the next turn is chosen.
+	conversations = 200
+	// costSamples are drawn to find the mean cost of a workload; the error of the mean is about 1%.
+	costSamples = 5000
 )
 
-const (
-	service namer.Service = "assistant"
-	model   namer.Model   = "large"
-	// answerLimit is the caller's limit on the output as a multiple of the output; callers set it generously.
-	answerLimit = 2
-)
-
-// Site is a user's fleet and the work that it gets.
-type Site struct {
-	Name        string
-	DataCentres []namer.DataCentre
-	Distance    time.Duration // one way between data centres
-	Engines     int           // spread evenly over the data centres, like the hosts
-	Hosts       int
-	Class       modeler.Class
-	Service     decider.ServiceView
-	Workloads   map[namer.Rank]modeler.Workload
-}
-
 // Arrival is one request of a schedule.
 type Arrival struct {
 	At       time.Duration
 	Workload modeler.Workload
+	Caller   namer.Caller
+	Model    namer.Model
 	Prompt   namer.Tokens
 	Output   namer.Tokens
+	// Conversation identifies the text that the prompt is the beginning of.
+	Conversation uint64
+	// Known is the length of the conversation's longest earlier prompt.
+	Known namer.Tokens
+	Flood bool // belongs to a flood
+}
+
+// Prefix returns the hashes of the prompt's blocks.
+func (a Arrival) Prefix() []uint64 {
+	blocks := make([]uint64, a.Prompt/decider.PrefixBlock)
+	for n := range blocks {
+		// The multiplier spreads the conversations over the numbers, so that blocks never collide.
+		blocks[n] = a.Conversation*0x9e3779b97f4a7c15 + uint64(n)
+	}
+	return blocks
 }
 
 // Schedule is a list of arrivals, determined by its seed, with the conditions they meet.
@@ -52,55 +58,134 @@
 	Arrivals []Arrival
 	// ReportLag is the age of a load report when it reaches the hosts.
 	ReportLag time.Duration
+	// Faults happen during the run.
+	Faults []Fault
+	// AskAgain says that callers ask again at once when they are refused, whatever Retry-After says.
+	AskAgain bool
+	// Shifts are the times at which the mix changes.
+	Shifts []time.Duration
+	// Floods are the times in which more than the fleet's capacity arrives.
+	Floods []Flood
 }
 
-// Siamrak returns the site of Siamrak Beltworks: long checks with short answers below urgent questions.
-func Siamrak() Site {
-	return Site{
-		Name: "siamrak", DataCentres: []namer.DataCentre{"a", "b", "c"}, Distance: time.Millisecond,
-		Engines: 8, Hosts: 6, Class: modeler.Large70B,
-		Service: decider.ServiceView{
-			Name: service, Deadline: 2 * time.Minute,
-			Ranks: []decider.RankView{
-				{Name: RankUrgent, FirstToken: 1400 * time.Millisecond, BetweenTokens: 44 * time.Millisecond, Share: 0.7, QueueLimit: 256},
-				{Name: RankFree, FirstToken: 30 * time.Second, BetweenTokens: 200 * time.Millisecond, Share: 0.3, QueueLimit: 256},
-			},
-		},
-		Workloads: map[namer.Rank]modeler.Workload{
-			RankUrgent: {
-				Rank: RankUrgent, PromptMin: 100, PromptMax: 1500, OutputMin: 50, OutputMax: 300,
-				FirstToken: 1400 * time.Millisecond, BetweenTokens: 44 * time.Millisecond,
-			},
-			RankFree: {
-				Rank: RankFree, PromptMin: 20_000, PromptMax: 60_000, OutputMin: 1, OutputMax: 8, Priority: 1,
-				FirstToken: 30 * time.Second, BetweenTokens: 200 * time.Millisecond,
-			},
-		},
+// Phase is a part of a schedule with one mix. Load is relative to the fluid capacity of the site: the
+// rate at which the least costs of the requests fill all engines. Lower is the part of the less
+// urgent rank in that work.
+type Phase struct {
+	Length time.Duration
+	Load   float64
+	Lower  float64
+}
+
+// Flood multiplies the arrivals of a rank for a time.
+type Flood struct {
+	Rank       namer.Rank
+	From, To   time.Duration
+	Multiplier float64
+}
+
+// Play returns the schedule of the given phases and floods.
+func Play(name string, site Site, seed uint64, phases []Phase, floods ...Flood) Schedule {
+	s := Schedule{Name: site.Name + " " + name, Site: site, Seed: seed, Floods: floods}
+	d := &drawer{random: rand.New(rand.NewPCG(seed, 1)), site: site}
+	d.callers = rand.NewZipf(d.random, callerSkew, 1, callers-1)
+	for n, p := range phases {
+		if n > 0 {
+			s.Shifts = append(s.Shifts, s.Length)
+		}
+		end := s.Length + p.Length
+		for place, part := range []float64{1 - p.Lower, p.Lower} {
+			w := site.workload(place)
+			rate := p.Load * part * float64(len(site.Engines)) / MeanCost(site, w, seed)
+			s.Arrivals = append(s.Arrivals, d.draw(w, rate, s.Length, end, false)...)
+			for _, f := range floods {
+				if f.Rank == w.Rank {
+					s.Arrivals = append(s.Arrivals, d.draw(w, rate*(f.Multiplier-1), max(f.From, s.Length), min(f.To, end), true)...)
+				}
+			}
+		}
+		s.Length = end
 	}
+	slices.SortStableFunc(s.Arrivals, func(a, b Arrival) int { return int(a.At - b.At) })
+	d.converse(s.Arrivals)
+	return s
 }
 
-// Steady returns a schedule with an unchanging mix of which the given part is urgent, at a load
-// relative to the calibrated capacity of the site's engines for that mix.
-func Steady(site Site, urgent, load float64, length time.Duration, seed uint64) Schedule {
-	mix := []modeler.Share{
-		{Workload: site.Workloads[RankUrgent], Part: urgent},
-		{Workload: site.Workloads[RankFree], Part: 1 - urgent},
+// MixedCapacity returns the part of the fluid capacity that an engine with the mixed role sustains for
+// a mix in which the less urgent rank has the given part of the work.
+func MixedCapacity(site Site, lower float64, seed uint64) float64 {
+	var mix []modeler.Share
+	total := 0.0 // requests for each engine second of work
+	for place, part := range []float64{1 - lower, lower} {
+		w := site.workload(place)
+		requests := part / MeanCost(site, w, seed)
+		total += requests
+		mix = append(mix, modeler.Share{Workload: w, Part: requests})
 	}
-	rate := load * float64(site.Engines) * modeler.Capacity(site.Class, mix, seed)
-	s := Schedule{Name: fmt.Sprintf("%s steady %.0f%%", site.Name, 100*load), Site: site, Seed: seed, Length: length}
-	random := rand.New(rand.NewPCG(seed, 1))
-	for now := gap(random, rate); now < length; now += gap(random, rate) {
-		w := mix[1].Workload
-		if random.Float64() < urgent {
-			w = mix[0].Workload
-		}
+	return modeler.Capacity(site.Engines[0].Class, mix, seed) / total
+}
+
+// MeanCost returns the mean of the least costs of a workload's requests in engine seconds, without
+// any use of prefix caches.
+func MeanCost(site Site, w modeler.Workload, seed uint64) float64 {
+	random := rand.New(rand.NewPCG(seed, 3))
+	sum := 0.0
+	for range costSamples {
 		prompt, output := w.Draw(random)
-		s.Arrivals = append(s.Arrivals, Arrival{At: now, Workload: w, Prompt: prompt, Output: output})
+		sum += site.Engines[0].Class.LeastCost(prompt, 0, output, memoryWeight)
 	}
-	return s
+	return sum / costSamples
+}
+
+// memoryWeight is a middle value, since the mean cost is only a measure of load and not a bound.
+const memoryWeight = 0.5
+
+// drawer draws the arrivals of a schedule.
+type drawer struct {
+	random  *rand.Rand
+	callers *rand.Zipf
+	site    Site
+}
+
+// draw returns Poisson arrivals of a workload.
+func (d *drawer) draw(w modeler.Workload, rate float64, from, to time.Duration, flood bool) []Arrival {
+	var arrivals []Arrival
+	for now := from + d.gap(rate); now < to; now += d.gap(rate) {
+		a := Arrival{At: now, Workload: w, Model: model, Flood: flood}
+		a.Prompt, a.Output = w.Draw(d.random)
+		a.Caller = namer.Caller(fmt.Sprintf("%s-%d", w.Rank, d.callers.Uint64()))
+		if flood {
+			a.Caller = namer.Caller(fmt.Sprintf("%s-flood-%d", w.Rank, d.random.IntN(floodCallers)))
+		}
+		arrivals = append(arrivals, a)
+	}
+	return arrivals
 }
 
 // gap draws the time between two arrivals of a Poisson process.
-func gap(random *rand.Rand, rate float64) time.Duration {
-	return time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+func (d *drawer) gap(rate float64) time.Duration {
+	return time.Duration(d.random.ExpFloat64() / rate * float64(time.Second))
+}
+
+// converse makes the chats turns of conversations: a turn's prompt begins with the whole prompt of an
+// earlier one. Prompts of the other workloads are all different.
+func (d *drawer) converse(arrivals []Arrival) {
+	type conversation struct {
+		id    uint64
+		known namer.Tokens
+	}
+	open := make([]conversation, conversations)
+	for n := range arrivals {
+		a := &arrivals[n]
+		a.Conversation = uint64(n + 1)
+		if a.Workload.Rank != RankUrgent || d.site.Name != "igisasu" {
+			continue
+		}
+		c := &open[d.random.IntN(len(open))]
+		if c.known == 0 || c.known >= a.Prompt {
+			*c = conversation{id: a.Conversation} // the conversation has ended; another takes its place
+		}
+		a.Conversation, a.Known = c.id, c.known
+		c.known = a.Prompt
+	}
 }
--- /dev/null
+++ b/modeler/cache.go
@@ -0,0 +1,70 @@
+package modeler
+
+import (
+	"container/list"
+
+	"apricotspool/decider"
+	"apricotspool/namer"
+)
+
+// CacheChange lists the prefix blocks that an engine has added and dropped since the last report.
+type CacheChange struct {
+	Added, Dropped []uint64
+	// Reset says that the engine restarted: what it held before is gone.
+	Reset bool
+}
+
+// prefixCache holds prompt blocks of decider.PrefixBlock tokens; the least recently used go first.
+type prefixCache struct {
+	blocks map[uint64]*list.Element
+	recent list.List // of uint64, the most recently used first
+	change CacheChange
+}
+
+// match returns the number of leading tokens that are cached and marks their blocks as used.
+func (p *prefixCache) match(prefix []uint64) namer.Tokens {
+	hit := namer.Tokens(0)
+	for _, block := range prefix {
+		element, ok := p.blocks[block]
+		if !ok {
+			break
+		}
+		p.recent.MoveToFront(element)
+		hit += decider.PrefixBlock
+	}
+	return hit
+}
+
+// add keeps the blocks of a prompt. The last are added first: a block is of use only while those
+// before it are cached, so those must stay longest.
+func (p *prefixCache) add(prefix []uint64, limit namer.Tokens) {
+	if p.blocks == nil {
+		p.blocks = map[uint64]*list.Element{}
+	}
+	for n := len(prefix) - 1; n >= 0; n-- {
+		if element, ok := p.blocks[prefix[n]]; ok {
+			p.recent.MoveToFront(element)
+			continue
+		}
+		p.blocks[prefix[n]] = p.recent.PushFront(prefix[n])
+		p.change.Added = append(p.change.Added, prefix[n])
+	}
+	for namer.Tokens(p.recent.Len())*decider.PrefixBlock > limit {
+		oldest := p.recent.Remove(p.recent.Back()).(uint64)
+		delete(p.blocks, oldest)
+		p.change.Dropped = append(p.change.Dropped, oldest)
+	}
+}
+
+func (p *prefixCache) clear() {
+	p.blocks = nil
+	p.recent.Init()
+	p.change = CacheChange{Reset: true}
+}
+
+// TakeCacheChange returns the changes of the prefix cache since the last call.
+func (e *Engine) TakeCacheChange() CacheChange {
+	change := e.cache.change
+	e.cache.change = CacheChange{}
+	return change
+}
--- a/modeler/calibrate.go
+++ b/modeler/calibrate.go
@@ -81,7 +81,7 @@
 // sustains reports whether one engine meets the targets of a mix at the given rate.
 func sustains(class Class, mix []Share, rate float64, seed uint64) bool {
 	random := rand.New(rand.NewPCG(seed, 0))
-	engine := &Engine{Name: "calibrated", Class: class}
+	engine := &Engine{Name: "calibrated", Class: class, Role: namer.RoleMixed}
 	jobs := map[namer.StreamID]*trial{}
 	count := func(events []Event) {
 		for _, event := range events {
--- a/modeler/class.go
+++ b/modeler/class.go
@@ -27,6 +27,12 @@
 	MaxSequences int
 	// StepTokens is the token budget of one step of an engine that decodes.
 	StepTokens namer.Tokens
+	// PrefillStepTokens is the token budget of one step of an engine with the prefill role.
+	PrefillStepTokens namer.Tokens
+	// CacheTokens is the size of the prefix cache.
+	CacheTokens namer.Tokens
+	// ExportRate is the rate in tokens a second at which KV caches leave the engine.
+	ExportRate float64
 }
 
 // Large70B is a model of 70 billion parameters with 8-bit weights on four accelerators of 80 GB.
@@ -38,6 +44,10 @@
 // 8 TB/s read one token in 40 ns.
 // StepTokens: 256 prompt tokens with 20,000 tokens before them make a step of 35 ms, which keeps the
 // time between tokens under 44 ms with a few dozen sequences; 512 would take 60 ms.
+// PrefillStepTokens: nothing decodes on an engine with the prefill role; 2,048 prompt tokens bring the
+// base to under 7% of a step and let an urgent prompt in after about 0.2 s.
+// CacheTokens: 32 GB of host memory beside the KV memory hold 100,000 tokens.
+// ExportRate: a link of 200 Gbit/s carries 78,000 tokens of 320 kB a second.
 var Large70B = Class{
 	StepBase:     11 * time.Millisecond,
 	PrefillToken: 75 * time.Microsecond,
@@ -47,6 +57,10 @@
 	KVTokens:     400_000,
 	MaxSequences: 128,
 	StepTokens:   256,
+
+	PrefillStepTokens: 2048,
+	CacheTokens:       100_000,
+	ExportRate:        78_000,
 }
 
 // PrefillRate is the rate in tokens a second at which an idle engine processes a short prompt.
--- a/modeler/engine_test.go
+++ b/modeler/engine_test.go
@@ -28,7 +28,7 @@
 // under preemption and cancellation.
 func TestEveryJobEndsOnceAndFreesItsMemory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		engine := &modeler.Engine{Class: smallMemory()}
+		engine := &modeler.Engine{Class: smallMemory(), Role: namer.RoleMixed}
 		now := time.Duration(0)
 		outputs := map[namer.StreamID]namer.Tokens{}
 		started := map[namer.StreamID]int{}
@@ -84,7 +84,7 @@
 
 // finishTimes submits the jobs at time 0 and returns when each had its first and its last token.
 func finishTimes(class modeler.Class, jobs ...modeler.Job) (first, last map[namer.StreamID]time.Duration) {
-	engine := &modeler.Engine{Class: class}
+	engine := &modeler.Engine{Class: class, Role: namer.RoleMixed}
 	for _, job := range jobs {
 		engine.Submit(0, job)
 	}
--- a/modeler/step.go
+++ b/modeler/step.go
@@ -13,7 +13,11 @@
 	if e.stepping || len(e.queue)+len(e.decoding) == 0 {
 		return
 	}
-	budget := e.Class.StepTokens - e.decodes()
+	budget := e.Class.StepTokens
+	if e.Role == namer.RolePrefill {
+		budget = e.Class.PrefillStepTokens
+	}
+	budget -= e.decodes()
 	cost := e.prefills(budget) + e.Class.StepBase.Seconds()
 	for _, s := range e.decoding {
 		cost += e.Class.Sequence.Seconds() + e.Class.KVRead*float64(s.kv)
@@ -38,7 +42,7 @@
 	blocked := false
 	chunked := 0
 	for at := 0; at < len(e.queue) && budget > 0; at++ {
-		if blocked && chunked == e.holding-len(e.decoding) {
+		if blocked && chunked == e.holding-len(e.decoding)-len(e.exports) {
 			break // every queued sequence with memory is in the step
 		}
 		s := e.queue[at]
@@ -47,6 +51,7 @@
 			if blocked {
 				continue
 			}
+			e.skipKnown(s)
 		}
 		chunked++
 		e.chunked = append(e.chunked, s)
@@ -58,6 +63,16 @@
 	return cost
 }
 
+// skipKnown marks the tokens whose KV cache was imported or is in the prefix cache as done. The last
+// token is always processed, since the first output token comes from it.
+func (e *Engine) skipKnown(s *sequence) {
+	known := s.target
+	if !s.imported {
+		known = e.cache.match(s.job.Prefix)
+	}
+	s.done = min(known, s.target-1)
+}
+
 // finish applies the results of the step that ends now.
 func (e *Engine) finish(now time.Duration) {
 	e.stepping = false
@@ -74,24 +89,36 @@
 		s.done += s.chunk
 		s.chunk = 0
 		if s.done == s.target {
-			e.queue = slices.DeleteFunc(e.queue, func(q *sequence) bool { return q == s })
-			e.decoding = append(e.decoding, s)
-			e.token(now, s)
+			e.complete(now, s)
 		}
 	}
 	e.chunked = e.chunked[:0]
 }
 
+// complete ends the processing of a prompt.
+func (e *Engine) complete(now time.Duration, s *sequence) {
+	e.unqueue(s)
+	e.cache.add(s.job.Prefix, e.Class.CacheTokens)
+	if s.job.Phase == PhasePrefill {
+		e.export(now, s)
+		return
+	}
+	e.decoding = append(e.decoding, s)
+	e.token(now, s)
+}
+
 // token adds one output token to a decoding sequence.
 func (e *Engine) token(now time.Duration, s *sequence) {
 	s.output++
-	if s.output == 1 {
+	if !s.begun {
+		s.begun = true
 		e.emit(JobStarted, now, s)
 	}
 	if s.output >= s.job.Output {
 		e.emit(JobFinished, now, s)
 		e.free(s)
-		e.decoding = slices.DeleteFunc(e.decoding, func(d *sequence) bool { return d == s })
+		e.decoding = without(e.decoding, s)
+		delete(e.jobs, s.job.Stream)
 	}
 }
 
@@ -133,8 +160,8 @@
 func (e *Engine) preempt(s *sequence) {
 	e.free(s)
 	decoding := len(e.decoding)
-	e.decoding = slices.DeleteFunc(e.decoding, func(d *sequence) bool { return d == s })
-	s.done = 0
+	e.decoding = without(e.decoding, s)
+	s.done, s.imported = 0, false
 	s.target = s.job.Prompt + s.output
 	if len(e.decoding) < decoding {
 		e.enqueue(s)
