Add the decision core in a first working version

Cause: the core was a least-running placeholder without queues, shares or estimates. Change: estimator, admitter, router, limiter and retrier, composed in decider.Core, and a small engine fleet in virtual time as a test stand-in. Request gets Weight, Fleet gets Models and TransferRate, namer gets Seconds.

--- a/decider/core.go
+++ b/decider/core.go
@@ -1,122 +1,190 @@
 package decider
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
-	"apricotspool/classifier"
+	"apricotspool/asserter"
+	"apricotspool/estimator"
 	"apricotspool/namer"
+	"apricotspool/router"
 )
 
-// Core decides about requests. Set the exported fields before the first call.
+// Core decides about requests. Set the exported fields before the first call. The slices of actions
+// that its methods return are valid until the next call.
 type Core struct {
 	Seed uint64 // of the random choices between endpoints
 
-	fleet    Fleet
-	running  map[namer.Endpoint]int
-	requests map[namer.StreamID]tracked
+	epoch     time.Time
+	random    *rand.Rand
+	fleet     Fleet
+	estimates estimator.Estimator
+	router    router.Router
+	pools     []*pool
+	byKey     map[poolKey]*pool
+	requests  map[namer.StreamID]*tracked
+	spare     []*tracked // records of ended requests
+	unstarted list
+	actions   []Action
+	query     router.Query
 }
 
-type tracked struct {
-	request  Request
-	endpoint namer.Endpoint
-	attempt  namer.Attempt
+// Configure replaces the fleet. What has been learned and the requests in progress stay.
+func (c *Core) Configure(now time.Time, fleet Fleet) {
+	if c.requests == nil {
+		c.epoch = now
+		c.random = rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15))
+		c.router.Random = c.random
+		c.byKey = map[poolKey]*pool{}
+		c.requests = map[namer.StreamID]*tracked{}
+	}
+	c.fleet = fleet
+	c.router.Hosts = max(1, fleet.Hosts)
+	at := c.seconds(now)
+	present := make(map[namer.Endpoint]bool, len(fleet.Endpoints))
+	for i := range fleet.Endpoints {
+		present[fleet.Endpoints[i].Name] = true
+		c.put(at, &fleet.Endpoints[i])
+	}
+	keep := func(name namer.Endpoint) bool { return present[name] }
+	c.arrangePools()
+	c.router.Sweep(keep)
+	c.estimates.Retain(func(name namer.Endpoint) bool {
+		_, known := c.router.Slot(name)
+		return known
+	})
+	for _, t := range c.requests {
+		t.rank = t.pool.rank(t.request.Rank)
+	}
 }
 
-// Configure replaces the fleet.
-func (c *Core) Configure(_ time.Time, fleet Fleet) {
-	c.fleet = fleet
-	if c.running == nil {
-		c.running = map[namer.Endpoint]int{}
-		c.requests = map[namer.StreamID]tracked{}
+// seconds returns the time since the first configuration, which is what the pure packages use.
+func (c *Core) seconds(now time.Time) namer.Seconds { return namer.Seconds(now.Sub(c.epoch).Seconds()) }
+
+func (c *Core) put(now namer.Seconds, view *EndpointView) {
+	configured := estimator.Configured{PrefillRate: view.PrefillRate, DecodeRate: view.DecodeRate}
+	if len(view.Models) > 0 {
+		configured.Model = view.Models[0]
+	}
+	rates := c.estimates.Endpoint(view.Name, configured)
+	ceiling := float64(view.Concurrency)
+	if ceiling == 0 {
+		ceiling = defaultConcurrency
+	}
+	start := ceiling
+	if target := c.strictestPace(view.Service); target > 0 {
+		start = rates.Batch(target)
 	}
+	c.router.Put(now, router.Endpoint{
+		Name: view.Name, Distance: namer.SecondsOf(view.Distance), Role: view.Role, Ceiling: ceiling,
+		StartLimit: start, Leaving: view.Leaving, Rates: rates,
+	})
 }
 
-// Arrive decides about a new request.
-func (c *Core) Arrive(_ time.Time, r Request) []Action {
-	best, ok := c.leastRunning(r, "")
-	if !ok {
-		return []Action{{Kind: ActionRefuse, Request: r.ID, Outcome: classifier.NoEndpoint, RetryAfter: time.Second}}
+// defaultConcurrency is used for endpoints that state no concurrency.
+const defaultConcurrency = 64
+
+// strictestPace returns the least target between tokens of a service's ranks; 0 when there is none.
+func (c *Core) strictestPace(name namer.Service) namer.Seconds {
+	least := namer.Seconds(0)
+	for i := range c.fleet.Services {
+		if c.fleet.Services[i].Name != name {
+			continue
+		}
+		for _, rank := range c.fleet.Services[i].Ranks {
+			target := namer.SecondsOf(rank.BetweenTokens)
+			if target > 0 && (least == 0 || target < least) {
+				least = target
+			}
+		}
 	}
-	return []Action{c.dispatch(tracked{request: r, endpoint: best, attempt: 1}, "")}
+	return least
 }
 
 // Observe takes news into account.
-func (c *Core) Observe(_ time.Time, e Event) []Action {
+func (c *Core) Observe(now time.Time, e Event) []Action {
+	c.actions = c.actions[:0]
+	at := c.seconds(now)
+	switch e.Kind {
+	case EventLoad:
+		c.observeLoad(at, e)
+		return c.actions
+	case EventCache:
+		if s, known := c.router.Slot(e.Endpoint); known {
+			c.router.Cache(s, e.Added, e.Dropped, e.Reset)
+		}
+		return c.actions
+	case EventHealth:
+		if s, known := c.router.Slot(e.Endpoint); known {
+			c.router.Reachable(at, s, e.Healthy)
+		}
+		return c.actions
+	}
 	t, known := c.requests[e.Request]
-	if !known {
-		return nil
+	if !known || (e.Attempt != 0 && e.Attempt != t.attempt) {
+		return c.actions
+	}
+	if e.Kind == EventCancelled {
+		c.cancelled(at, t)
+		return c.actions
+	}
+	if t.state == waiting {
+		return c.actions // news of an attempt that has ended already
 	}
 	switch e.Kind {
-	case EventFinished, EventCancelled:
-		c.release(t)
+	case EventStarted:
+		c.started(at, t)
+	case EventFinished:
+		c.finished(at, t, e)
 	case EventFailed:
-		c.release(t)
-		return []Action{c.retry(t, e)}
+		c.failed(at, t, e)
 	}
-	return nil
+	return c.actions
 }
 
-// Tick decides what time alone makes due.
-func (c *Core) Tick(time.Time) []Action { return nil }
-
-func (c *Core) retry(t tracked, e Event) Action {
-	other, ok := c.leastRunning(t.request, t.endpoint)
-	if !ok || t.attempt >= 3 || (!t.request.Idempotent && !e.NotRun) {
-		outcome := classifier.EndpointFailed
-		if e.NotRun {
-			outcome = classifier.EndpointRefused
+func (c *Core) observeLoad(at namer.Seconds, e Event) {
+	s, known := c.router.Slot(e.Endpoint)
+	if !known {
+		return
+	}
+	pools := c.poolsOf(e.Endpoint)
+	if len(pools) == 0 {
+		return
+	}
+	load := router.Load{
+		At: min(c.seconds(e.Load.At), at), Requests: float64(e.Load.Running + e.Load.Waiting),
+		Prefill: float64(e.Load.WaitingPrefill), Role: e.Load.Role, Leaving: e.Load.Leaving || c.configuredLeaving(e.Endpoint),
+	}
+	changed := c.router.Report(at, s, &pools[0].Pool, load)
+	for _, p := range pools {
+		if changed {
+			c.router.Roles(&p.Pool)
 		}
-		return Action{Kind: ActionRefuse, Request: t.request.ID, Outcome: outcome, RetryAfter: time.Second}
+		c.pump(at, p)
 	}
-	t.endpoint = other
-	t.attempt++
-	return c.dispatch(t, e.Reason)
-}
-
-func (c *Core) dispatch(t tracked, reason classifier.RetryReason) Action {
-	c.requests[t.request.ID] = t
-	c.running[t.endpoint]++
-	return Action{Kind: ActionDispatch, Request: t.request.ID, Attempt: t.attempt, Endpoint: t.endpoint, Priority: c.order(t.request), Retry: reason}
 }
 
-func (c *Core) release(t tracked) {
-	c.running[t.endpoint]--
+// forget removes a request that has come to its end.
+func (c *Core) forget(t *tracked) {
+	asserter.Check(c.requests[t.request.ID] == t, "a request ends once", "request %s", t.request.ID)
 	delete(c.requests, t.request.ID)
+	c.spare = append(c.spare, t)
 }
 
-// order returns the rank's place within its service, 0 for the most urgent.
-func (c *Core) order(r Request) int {
-	for _, s := range c.fleet.Services {
-		for i, rank := range s.Ranks {
-			if s.Name == r.Service && rank.Name == r.Rank {
-				return i
-			}
-		}
-	}
-	return 0
-}
+// Requests returns the number of requests that wait or run.
+func (c *Core) Requests() int { return len(c.requests) }
 
-func (c *Core) leastRunning(r Request, except namer.Endpoint) (namer.Endpoint, bool) {
-	var best namer.Endpoint
-	for _, e := range c.fleet.Endpoints {
-		if e.Service != r.Service || e.Leaving || e.Name == except || !serves(e, r.Model) {
-			continue
-		}
-		if best == "" || c.running[e.Name] < c.running[best] {
-			best = e.Name
-		}
+// Waiting returns the number of requests of all services that wait for a dispatch.
+func (c *Core) Waiting() int {
+	total := 0
+	for _, p := range c.pools {
+		total += p.queue.Waiting()
 	}
-	return best, best != ""
+	return total
 }
 
-func serves(e EndpointView, m namer.Model) bool {
-	if m == "" {
-		return true
-	}
-	for _, model := range e.Models {
-		if model == m {
-			return true
-		}
-	}
-	return false
+func (c *Core) configuredLeaving(name namer.Endpoint) bool {
+	i := slices.IndexFunc(c.fleet.Endpoints, func(e EndpointView) bool { return e.Name == name })
+	return i >= 0 && c.fleet.Endpoints[i].Leaving
 }
--- a/decider/event.go
+++ b/decider/event.go
@@ -17,6 +17,7 @@
 	Service namer.Service
 	Model   namer.Model // empty for plain services
 	Rank    namer.Rank
+	Weight  int // of the caller within its rank; 0 means 1
 	// Idempotent requests may be attempted again after a failure.
 	Idempotent   bool
 	PromptTokens namer.Tokens
@@ -56,7 +57,7 @@
 type Event struct {
 	Kind     EventKind
 	Request  namer.StreamID
-	Attempt  namer.Attempt
+	Attempt  namer.Attempt // 0 means the current one; news of an earlier attempt has no effect
 	Endpoint namer.Endpoint
 
 	OutputTokens namer.Tokens           // EventFinished: tokens generated; EventFailed: tokens delivered before
--- /dev/null
+++ b/decider/fake_test.go
@@ -0,0 +1,379 @@
+package decider_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"apricotspool/decider"
+	"apricotspool/namer"
+)
+
+// A small engine fleet in virtual time: continuous batching with chunked prefill in priority order,
+// late load reports and several hosts that decide alone.
+
+type job struct {
+	request  decider.Request
+	core     int
+	attempt  namer.Attempt
+	priority int
+	arrived  time.Duration
+	sent     time.Duration
+	prompt   float64 // tokens left
+	output   int     // tokens wanted
+	produced int
+	started  time.Duration
+	gone     bool
+}
+
+type engine struct {
+	name    namer.Endpoint
+	speed   float64
+	jobs    []*job
+	cache   map[uint64]bool
+	stepped bool // a step is scheduled
+	dead    bool
+	silent  bool
+	prefill float64 // tokens processed, by all ranks
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// tally counts the results of one rank.
+type tally struct {
+	offered, served, met, paced, refused, failed int
+	first                                        []float64
+	work                                         float64 // engine seconds of served requests
+}
+
+func (t *tally) quantile(q float64) float64 {
+	if len(t.first) == 0 {
+		return math.NaN()
+	}
+	slices.Sort(t.first)
+	return t.first[int(q*float64(len(t.first)-1))]
+}
+
+type world struct {
+	now     time.Duration
+	start   time.Time
+	queue   events
+	seq     int
+	random  *rand.Rand
+	cores   []*decider.Core
+	engines map[namer.Endpoint]*engine
+	order   []namer.Endpoint
+	jobs    map[namer.StreamID]*job
+	ranks   []decider.RankView
+	tallies map[namer.Rank]*tally
+	lag     time.Duration
+	finals  map[namer.StreamID]int
+	retries int
+	sends   int
+	// refusing engines answer every dispatch with this reason, not run.
+	onDispatch func(a decider.Action) (decider.Event, bool)
+}
+
+const (
+	stepBudget = 512.0
+	stepBase   = 0.008
+	stepStream = 0.0002
+	stepToken  = 0.00004
+)
+
+var fakeRanks = []decider.RankView{
+	{Name: "urgent", FirstToken: 1400 * time.Millisecond, BetweenTokens: 44 * time.Millisecond, Share: 0.7, QueueLimit: 256},
+	{Name: "free", FirstToken: 10 * time.Second, BetweenTokens: 200 * time.Millisecond, Share: 0.2, QueueLimit: 256},
+}
+
+func newWorld(seed uint64, hosts, engines int, lag time.Duration) *world {
+	w := &world{
+		start: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), engines: map[namer.Endpoint]*engine{},
+		jobs: map[namer.StreamID]*job{}, ranks: fakeRanks, tallies: map[namer.Rank]*tally{}, lag: lag, finals: map[namer.StreamID]int{},
+	}
+	for _, r := range w.ranks {
+		w.tallies[r.Name] = &tally{}
+	}
+	for i := range engines {
+		name := namer.Endpoint(fmt.Sprintf("engine-%02d", i))
+		w.engines[name] = &engine{name: name, speed: 1, cache: map[uint64]bool{}}
+		w.order = append(w.order, name)
+	}
+	for i := range hosts {
+		c := &decider.Core{Seed: seed*100 + uint64(i)}
+		c.Configure(w.start, w.fleet(hosts))
+		w.cores = append(w.cores, c)
+	}
+	return w
+}
+
+func (w *world) fleet(hosts int) decider.Fleet {
+	f := decider.Fleet{Hosts: hosts, Services: []decider.ServiceView{{Name: "chat", Ranks: w.ranks}}}
+	for _, name := range w.order {
+		f.Endpoints = append(f.Endpoints, decider.EndpointView{
+			Name: name, Service: "chat", Models: []namer.Model{"m"}, Distance: time.Millisecond, Role: namer.RoleMixed,
+			Concurrency: 64, PrefillRate: 15_000, DecodeRate: 120,
+		})
+	}
+	return f
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, run})
+}
+
+func (w *world) at() time.Time { return w.start.Add(w.now) }
+
+// run processes events up to the end; ticks and reports go on until then.
+func (w *world) run(end time.Duration) {
+	for i := range w.cores {
+		w.repeat(20*time.Millisecond, func() { w.act(i, w.cores[i].Tick(w.at())) })
+	}
+	for _, name := range w.order {
+		w.repeat(time.Second, func() { w.report(w.engines[name]) })
+	}
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		if e.at > end {
+			return
+		}
+		w.now = e.at
+		e.run()
+	}
+}
+
+func (w *world) repeat(period time.Duration, run func()) {
+	w.after(time.Duration(w.random.Int64N(int64(period))), func() {
+		run()
+		var again func()
+		again = func() { run(); w.after(period, again) }
+		w.after(period, again)
+	})
+}
+
+func (w *world) report(e *engine) {
+	if e.dead || e.silent {
+		return
+	}
+	load := decider.Load{At: w.at(), Role: namer.RoleMixed}
+	for _, j := range e.jobs {
+		if j.produced > 0 {
+			load.Running++
+		} else {
+			load.Waiting++
+		}
+		load.WaitingPrefill += namer.Tokens(j.prompt)
+	}
+	w.after(w.lag, func() {
+		for i, c := range w.cores {
+			w.act(i, c.Observe(w.at(), decider.Event{Kind: decider.EventLoad, Endpoint: e.name, Load: load}))
+		}
+	})
+}
+
+func (w *world) arrive(after time.Duration, r decider.Request, output int) {
+	w.after(after, func() {
+		core := w.random.IntN(len(w.cores))
+		r.ID = namer.StreamID(fmt.Sprintf("%08d", len(w.jobs)))
+		r.Service, r.Model, r.Idempotent = "chat", "m", true
+		if r.Deadline.IsZero() {
+			r.Deadline = w.at().Add(2 * time.Minute)
+		}
+		w.jobs[r.ID] = &job{request: r, core: core, arrived: w.now, output: output}
+		w.tallies[r.Rank].offered++
+		w.act(core, w.cores[core].Arrive(w.at(), r))
+	})
+}
+
+func (w *world) act(core int, actions []decider.Action) {
+	for _, a := range slices.Clone(actions) {
+		j := w.jobs[a.Request]
+		switch a.Kind {
+		case decider.ActionRefuse:
+			w.finals[a.Request]++
+			w.tallies[j.request.Rank].refused++
+		case decider.ActionCancel:
+			j.gone = true
+			copied := *j
+			copied.gone = false
+			w.jobs[a.Request] = &copied
+		case decider.ActionDispatch:
+			w.dispatch(core, a, j)
+		}
+	}
+}
+
+func (w *world) dispatch(core int, a decider.Action, j *job) {
+	w.sends++
+	if a.Retry != "" {
+		w.retries++
+	}
+	fresh := *j
+	j = &fresh
+	w.jobs[a.Request] = j
+	j.attempt, j.priority, j.sent, j.produced, j.started = a.Attempt, a.Priority, w.now, 0, 0
+	if w.onDispatch != nil {
+		if answer, failed := w.onDispatch(a); failed {
+			w.after(2*time.Millisecond, func() { w.tell(j, answer) })
+			return
+		}
+	}
+	e := w.engines[a.Endpoint]
+	w.after(time.Millisecond, func() {
+		if j.gone {
+			return
+		}
+		cached := 0
+		for _, hash := range j.request.Prefix {
+			if !e.cache[hash] {
+				break
+			}
+			cached++
+		}
+		j.prompt = max(1, float64(j.request.PromptTokens)-float64(cached*256))
+		e.jobs = append(e.jobs, j)
+		w.step(e)
+	})
+}
+
+func (w *world) tell(j *job, e decider.Event) {
+	if j.gone {
+		return
+	}
+	e.Request, e.Attempt = j.request.ID, j.attempt
+	w.act(j.core, w.cores[j.core].Observe(w.at(), e))
+}
+
+// step runs one batch of an engine and schedules the next one.
+func (w *world) step(e *engine) {
+	if e.stepped || e.dead || e.silent {
+		return
+	}
+	e.jobs = slices.DeleteFunc(e.jobs, func(j *job) bool { return j.gone })
+	if len(e.jobs) == 0 {
+		return
+	}
+	slices.SortStableFunc(e.jobs, func(a, b *job) int { return a.priority - b.priority })
+	streams, tokens := 0.0, 0.0
+	for _, j := range e.jobs {
+		if j.prompt == 0 {
+			streams++
+		}
+	}
+	var advanced []*job
+	for _, j := range e.jobs {
+		if j.prompt == 0 {
+			advanced = append(advanced, j)
+			continue
+		}
+		if take := min(j.prompt, stepBudget-streams-tokens); take > 0 {
+			j.prompt -= take
+			tokens += take
+			if j.prompt == 0 {
+				advanced = append(advanced, j)
+			}
+		}
+	}
+	e.prefill += tokens
+	e.stepped = true
+	seconds := (stepBase + stepStream*streams + stepToken*tokens) / e.speed
+	w.after(time.Duration(seconds*float64(time.Second)), func() { w.stepEnd(e, advanced) })
+}
+
+func (w *world) stepEnd(e *engine, advanced []*job) {
+	e.stepped = false
+	if e.dead {
+		return
+	}
+	for _, j := range advanced {
+		if j.gone {
+			continue
+		}
+		j.produced++
+		if j.produced == 1 {
+			j.started = w.now
+			for _, hash := range j.request.Prefix {
+				e.cache[hash] = true
+			}
+			w.after(time.Millisecond, func() { w.tell(j, decider.Event{Kind: decider.EventStarted}) })
+		}
+		if j.produced >= j.output {
+			w.finish(e, j)
+		}
+	}
+	w.step(e)
+}
+
+func (w *world) finish(e *engine, j *job) {
+	e.jobs = slices.DeleteFunc(e.jobs, func(other *job) bool { return other == j })
+	w.after(time.Millisecond, func() {
+		if j.gone {
+			return
+		}
+		w.finals[j.request.ID]++
+		t := w.tallies[j.request.Rank]
+		i := slices.IndexFunc(w.ranks, func(r decider.RankView) bool { return r.Name == j.request.Rank })
+		first := j.started + time.Millisecond - j.arrived
+		between := (w.now - j.started) / time.Duration(max(1, j.output-1))
+		t.served++
+		t.first = append(t.first, first.Seconds())
+		t.work += stepToken*float64(j.request.PromptTokens) + (stepBase/32+stepStream)*float64(j.output)
+		inPace := between <= w.ranks[i].BetweenTokens
+		if inPace {
+			t.paced++
+		}
+		if inPace && first <= w.ranks[i].FirstToken {
+			t.met++
+		}
+		w.tell(j, decider.Event{Kind: decider.EventFinished, OutputTokens: namer.Tokens(j.output)})
+	})
+}
+
+// kill ends an engine; its attempts break.
+func (w *world) kill(e *engine) {
+	e.dead = true
+	for _, j := range e.jobs {
+		w.after(time.Millisecond, func() {
+			w.tell(j, decider.Event{Kind: decider.EventFailed, Reason: "stream-broken"})
+		})
+	}
+	e.jobs = nil
+	w.onDispatch = func(a decider.Action) (decider.Event, bool) {
+		if w.engines[a.Endpoint].dead {
+			return decider.Event{Kind: decider.EventFailed, Reason: "connect-failed", NotRun: true}, true
+		}
+		return decider.Event{}, false
+	}
+}
+
+func (w *world) print(label string) {
+	for _, r := range w.ranks {
+		t := w.tallies[r.Name]
+		fmt.Printf("%-22s %-7s offered %6d served %6d met %6d (%.3f of offered, %.3f of served) paced %.3f refused %6d p50 %.3f p95 %.3f work %.1f\n",
+			label, r.Name, t.offered, t.served, t.met, float64(t.met)/float64(max(1, t.offered)), float64(t.met)/float64(max(1, t.served)),
+			float64(t.paced)/float64(max(1, t.served)), t.refused, t.quantile(0.5), t.quantile(0.95), t.work)
+	}
+}
--- a/decider/fleet.go
+++ b/decider/fleet.go
@@ -13,6 +13,22 @@
 	Hosts      int              // live hosts that decide over the same endpoints, this one included
 	Services   []ServiceView
 	Endpoints  []EndpointView
+	Models     []ModelView
+	// TransferRate is the speed at which KV cache moves between engines, in bytes a second; 0 means
+	// DefaultTransferRate.
+	TransferRate float64
+}
+
+// DefaultTransferRate is a network link of 100 Gbit/s at less than half its speed.
+const DefaultTransferRate = 5e9
+
+// DefaultKVBytes is the size of the KV cache of one token of a model that doesn't state it.
+const DefaultKVBytes = 128 << 10
+
+// ModelView is a model as far as it concerns the price of moving its KV cache.
+type ModelView struct {
+	Name    namer.Model
+	KVBytes int // of one token; 0 means DefaultKVBytes
 }
 
 // ServiceView is a service with its ranks.
--- a/namer/unit.go
+++ b/namer/unit.go
@@ -47,3 +47,12 @@
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
 func (d Duration) String() string { return time.Duration(d).String() }
+
+// Seconds measures time in the pure packages: a length of time, or a moment since the owner's start.
+type Seconds float64
+
+// Duration returns the standard library's value.
+func (s Seconds) Duration() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
+
+// SecondsOf returns the length of d.
+func SecondsOf(d time.Duration) Seconds { return Seconds(d.Seconds()) }
