Hold back by what has been late: slack by rank and a window for lower classes

Cause: eight hosts fill an engine with long prompts before the next report shows it. Change: a window of prefill in flight, fed back by first tokens, and a high quantile of lateness taken off the budget. An endpoint that shows progress is slow and not hanging.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -223,33 +223,35 @@
 	return Entry{}, false
 }
 
-// creditCap bounds what a rank can be owed, so that returning demand takes its share evenly and
-// does not hold up urgent work for long.
-const creditCap = 1.0
+const (
+	// creditCap bounds what a rank can be owed, so that returning demand takes its share evenly and
+	// does not hold up urgent work for long.
+	creditCap = 1.0
+	// debtCap bounds what a rank owes after it has used idle capacity; it pays that off before it is
+	// owed its share.
+	debtCap = 1.0
+)
 
-// spend distributes the cost of a dispatch: every other rank that waits is owed its share of it.
+// spend distributes the cost of a dispatch: every rank earns its share of it and the rank itself
+// pays for it. A rank that is owed something pays in full, so that large requests don't add up to
+// more than the share.
 func (q *Queue) spend(now namer.Seconds, rank int, cost namer.Seconds) {
 	q.lanes[rank].inflow.add(now, float64(cost))
-	contended := false
 	for i := range q.lanes {
 		l := &q.lanes[i]
-		if i == rank {
-			continue
-		}
-		if len(l.entries) == 0 {
-			l.credit = 0
-			continue
+		earned := l.rules.Share * float64(cost)
+		switch {
+		case i == rank && l.credit > 0:
+			l.credit += earned - float64(cost)
+		case i == rank:
+			l.credit = max(min(l.credit, -debtCap), l.credit+earned-float64(cost))
+		case len(l.entries) == 0:
+			l.credit = min(l.credit+earned, 0)
+		default:
+			l.credit = min(l.credit+earned, creditCap)
 		}
-		contended = true
-		l.credit = min(l.credit+l.rules.Share*float64(cost), creditCap)
-	}
-	if contended {
-		l := &q.lanes[rank]
-		l.credit -= (1 - l.rules.Share) * float64(cost)
-	} else {
-		q.lanes[rank].credit = 0
 	}
-	q.drain.work(float64(cost), q.Waiting() > 0 || contended)
+	q.drain.work(float64(cost), q.Waiting() > 0)
 }
 
 func (q *Queue) observe(now namer.Seconds) { q.drain.pass(now, q.Waiting() > 0) }
--- a/decider/observe.go
+++ b/decider/observe.go
@@ -22,6 +22,13 @@
 	}
 	t.state, t.startAt = running, at
 	c.unstarted.remove(t)
+	t.pool.settle(t)
+	target := namer.SecondsOf(t.pool.service.Ranks[t.rank].FirstToken)
+	t.pool.slack[t.rank].learn(at-t.sentAt, t.choice.FirstToken, target)
+	if t.class > 0 {
+		t.pool.window.learn(at-t.sentAt-t.choice.FirstToken, target)
+	}
+	c.router.Heard(at, t.slot)
 	took := at - t.sentAt
 	if took > slowFactor*t.choice.FirstToken+slowMin {
 		c.router.Slow(at, t.slot)
@@ -58,6 +65,7 @@
 		c.started(at, t)
 	}
 	load := (t.load + c.router.Running(t.slot)) / 2
+	c.router.Heard(at, t.slot)
 	c.router.Succeeded(t.slot)
 	t.pool.budgets[t.rank].Succeeded(at)
 	switch {
@@ -84,11 +92,18 @@
 // plainSlowdown is the rise of a plain service's latency over its idle one that counts as overload.
 const plainSlowdown = 3
 
+// settle takes an attempt out of the window of lower classes.
+func (p *pool) settle(t *tracked) {
+	p.pending = max(0, p.pending-t.pending)
+	t.pending = 0
+}
+
 // release takes the current attempt off its endpoints.
 func (c *Core) release(at namer.Seconds, t *tracked) {
 	unprocessed := 0.0
 	if t.state == sent {
 		c.unstarted.remove(t)
+		t.pool.settle(t)
 		if !t.pool.Plain {
 			unprocessed = t.choice.Uncached
 		}
--- a/decider/pool.go
+++ b/decider/pool.go
@@ -27,6 +27,10 @@
 	running []int           // attempts in flight by rank
 	seen    []namer.Seconds // last arrival by rank
 	demand  demand
+	// pending is the prefill time of own attempts below the most urgent class without a first token.
+	pending namer.Seconds
+	slack   []slack // by rank
+	window  window
 }
 
 // demand is the offered work, refused requests included, as decayed sums.
@@ -89,7 +93,7 @@
 	capacity := float64(len(members)) / float64(c.router.Hosts)
 	p, known := c.byKey[key]
 	if !known {
-		p = &pool{key: key, queue: admitter.NewQueue(c.random, rules, capacity)}
+		p = &pool{key: key, queue: admitter.NewQueue(c.random, rules, capacity), window: window{windowStart}}
 		c.pools = append(c.pools, p)
 		c.byKey[key] = p
 	} else {
@@ -112,7 +116,7 @@
 // reshape carries counts and budgets over to a changed list of ranks.
 func (p *pool) reshape(service ServiceView) {
 	n := len(service.Ranks)
-	budgets, running, seen := make([]retrier.Budget, n), make([]int, n), make([]namer.Seconds, n)
+	budgets, running, seen, late := make([]retrier.Budget, n), make([]int, n), make([]namer.Seconds, n), make([]slack, n)
 	for i := range seen {
 		seen[i] = -activeFor
 	}
@@ -122,10 +126,10 @@
 			running[n-1] += p.running[i]
 			continue
 		}
-		budgets[j], seen[j] = p.budgets[i], p.seen[i]
+		budgets[j], seen[j], late[j] = p.budgets[i], p.seen[i], p.slack[i]
 		running[j] += p.running[i]
 	}
-	p.service, p.budgets, p.running, p.seen = service, budgets, running, seen
+	p.service, p.budgets, p.running, p.seen, p.slack = service, budgets, running, seen, late
 }
 
 // rank returns the index of a rank; an unknown rank gets the least urgent one.
--- a/decider/request.go
+++ b/decider/request.go
@@ -36,7 +36,8 @@
 	choice  router.Choice
 	sentAt  namer.Seconds
 	startAt namer.Seconds
-	load    float64 // requests at the endpoint at dispatch
+	pending namer.Seconds // prefill time counted in the pool's window until the first token
+	load    float64       // requests at the endpoint at dispatch
 
 	exclude    router.Slot // endpoint of the failed attempt
 	retry      bool        // an attempt failed; the next dispatch is a retry
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -89,7 +89,8 @@
 type Hang struct {
 	Idempotent bool
 	Attempt    namer.Attempt
-	Waited     namer.Seconds
+	Waited     namer.Seconds // since dispatch
+	Silent     namer.Seconds // since the endpoint's last sign of life
 	Predicted  namer.Seconds // to the first token, as seen at dispatch
 	Remaining  namer.Seconds // to the deadline
 }
@@ -105,8 +106,10 @@
 func HangAfter(predicted namer.Seconds) namer.Seconds { return max(minHang, hangFactor*predicted) }
 
 // Pays reports whether moving the attempt to an endpoint with the given prediction is safe and
-// better than waiting. The expected rest of a hang is as long as it has lasted already.
+// better than waiting. The expected rest of a hang is as long as it has lasted already. An endpoint
+// that answers others is only slow, and a move would give up the place in its queue.
 func (h Hang) Pays(elsewhere namer.Seconds) bool {
-	return h.Idempotent && h.Attempt < MaxAttempts && h.Waited >= HangAfter(h.Predicted) &&
+	silent := h.Silent >= HangAfter(0) && h.Silent >= h.Waited/2
+	return silent && h.Idempotent && h.Attempt < MaxAttempts && h.Waited >= HangAfter(h.Predicted) &&
 		elsewhere < h.Waited && elsewhere <= h.Remaining
 }
--- a/router/pick.go
+++ b/router/pick.go
@@ -18,7 +18,9 @@
 	// Budget is the time left to the first token. Only an idle endpoint may exceed it.
 	Budget namer.Seconds
 	// Reserve is the number of slots of each endpoint that stay free for more urgent ranks.
-	Reserve    float64
+	Reserve float64
+	// IdleOnly restricts the choice to idle endpoints.
+	IdleOnly   bool
 	Exclude    Slot // endpoint of the failed attempt, or None
 	Repeatable bool
 }
@@ -218,6 +220,9 @@
 	if running < idleRunning && wait < lowBacklog/10 {
 		return true
 	}
+	if f.query.IdleOnly {
+		return false
+	}
 	if f.query.Class > 0 && wait > lowBacklog {
 		return false
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -44,8 +44,9 @@
 	reported float64 // requests at the endpoint at reportAt
 	since    float64 // own dispatches less own ends since reportAt
 	recent   []change
-	own      int // own attempts in flight
-	urgent   int // those of class 0
+	own      int           // own attempts in flight
+	urgent   int           // those of class 0
+	heardAt  namer.Seconds // last first token or end of an own attempt
 
 	backlog   [Classes]float64 // prompt tokens that wait for prefill, at backlogAt
 	backlogAt namer.Seconds
@@ -144,6 +145,14 @@
 // Running estimates the requests at an endpoint now.
 func (r *Router) Running(s Slot) float64 { return r.endpoints[s].running(r.Hosts) }
 
+// Heard accounts for a sign of life of an own attempt.
+func (r *Router) Heard(now namer.Seconds, s Slot) { r.endpoints[s].heardAt = now }
+
+// HeardAt returns the last sign of life of an endpoint: progress of an own attempt or a report.
+func (r *Router) HeardAt(s Slot) namer.Seconds {
+	return max(r.endpoints[s].heardAt, r.endpoints[s].reportAt)
+}
+
 // Limit returns the concurrency limit of an endpoint.
 func (r *Router) Limit(s Slot) float64 { return r.endpoints[s].limit.Value() }
 
