--- a/decider/arrive.go
+++ b/decider/arrive.go
@@ -165,6 +165,9 @@
 	if !ok {
 		return false
 	}
+	if owed {
+		t.pool.owedAt = at
+	}
 	c.dispatch(at, t, choice, class)
 	return true
 }
@@ -184,6 +187,7 @@
 		Budget: budget - t.pool.slack[t.rank].late, Exclude: t.exclude, Repeatable: t.request.Idempotent,
 	}
 	q.IdleOnly = class > 0 && t.pool.windowFull(c.router.Hosts)
+	q.Owed, q.Lent = owed, t.pool.lent(at)
 	if !owed {
 		q.Reserve = t.pool.reserve(at, t.rank, c.router.Hosts)
 	}
--- a/decider/fake_test.go
+++ b/decider/fake_test.go
@@ -30,14 +30,15 @@
 }
 
 type engine struct {
-	name    namer.Endpoint
-	speed   float64
-	jobs    []*job
-	cache   map[uint64]bool
-	stepped bool // a step is scheduled
-	dead    bool
-	silent  bool
-	prefill float64 // tokens processed, by all ranks
+	name           namer.Endpoint
+	speed          float64
+	jobs           []*job
+	cache          map[uint64]bool
+	stepped        bool // a step is scheduled
+	dead           bool
+	silent         bool
+	prefill        float64 // tokens processed, by all ranks
+	busy, streamed float64
 }
 
 type event struct {
@@ -299,7 +300,9 @@
 	}
 	e.prefill += tokens
 	e.stepped = true
+	e.streamed += streams
 	seconds := (stepBase + stepStream*streams + stepToken*tokens) / e.speed
+	e.busy += seconds
 	w.after(time.Duration(seconds*float64(time.Second)), func() { w.stepEnd(e, advanced) })
 }
 
@@ -370,6 +373,11 @@
 }
 
 func (w *world) print(label string) {
+	for _, n := range w.order {
+		e := w.engines[n]
+		fmt.Printf("[%.2f %.0fk %.0fk] ", e.busy/60, e.prefill/1000, e.streamed/1000)
+	}
+	fmt.Println()
 	for _, r := range w.ranks {
 		t := w.tallies[r.Name]
 		fmt.Printf("%-22s %-7s offered %6d served %6d met %6d (%.3f of offered, %.3f of served) paced %.3f refused %6d p50 %.3f p95 %.3f work %.1f\n",
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -128,6 +128,10 @@
 // dominated by the length of one engine step.
 const fullWeight = 2_000.0
 
+// unseenBias makes prefill follow a low quantile: a first token often waits for other hosts' work
+// that no report has shown yet, and never comes early.
+const unseenBias = 0.2
+
 // LearnPrefill takes the observed time to process tokens beside running requests.
 func (r *Rates) LearnPrefill(tokens, running float64, took namer.Seconds) {
 	if tokens <= 0 || took <= 0 {
@@ -138,8 +142,8 @@
 		weight = min(1, tokens/fullWeight)
 	}
 	y := float64(took) / tokens / r.prefillScale
-	r.prefill.learn(running/loadUnit, y, weight)
-	r.model.prefill.learn(running/loadUnit, y, weight/4)
+	r.prefill.learn(running/loadUnit, y, weight, unseenBias)
+	r.model.prefill.learn(running/loadUnit, y, weight/4, unseenBias)
 }
 
 // LearnDecode takes the observed mean time between tokens beside running requests.
@@ -148,6 +152,6 @@
 		return
 	}
 	y := float64(between) / r.decodeScale
-	r.decode.learn(running/loadUnit, y, 1)
-	r.model.decode.learn(running/loadUnit, y, 0.25)
+	r.decode.learn(running/loadUnit, y, 1, 1)
+	r.model.decode.learn(running/loadUnit, y, 0.25, 1)
 }
--- a/estimator/line.go
+++ b/estimator/line.go
@@ -22,8 +22,10 @@
 
 func (l *line) at(x float64) float64 { return l.base + l.slope*x }
 
-// learn takes one observation; weight from 0 to 1 scales its influence.
-func (l *line) learn(x, y, weight float64) {
+// learn takes one observation; weight from 0 to 1 scales its influence. Bias from 0 to 1 scales
+// corrections upwards: below 1 the line follows a lower quantile, for observations that contain
+// delays by unseen work.
+func (l *line) learn(x, y, weight, bias float64) {
 	predicted := l.at(x)
 	step := max(minStep, maxStep/(1+l.samples/4)) * weight
 	relative := y/predicted - 1
@@ -40,6 +42,9 @@
 	if l.streak >= shiftStreak || l.streak <= -shiftStreak {
 		step = max(step, maxStep*weight)
 	}
+	if relative > 0 {
+		step *= bias
+	}
 	gain := step * relative * predicted / (1 + x*x)
 	l.base = max(minBase, l.base+gain)
 	l.slope = max(0, l.slope+gain*x)
