Bound the prefill in flight of every rank

Cause: at the start of a flood no report shows what the other hosts send, and 8 hosts fill the engines with 5 s of urgent prefill. Change: the window of lower classes becomes one for each rank, in parts of its target.

--- a/decider/arrive.go
+++ b/decider/arrive.go
@@ -186,7 +186,7 @@
 		Class: class, Prompt: float64(t.request.PromptTokens), Output: t.output, Prefix: t.request.Prefix,
 		Budget: budget - t.pool.slack[t.rank].late, Exclude: t.exclude, Repeatable: t.request.Idempotent,
 	}
-	q.IdleOnly = class > 0 && t.pool.windowFull(c.router.Hosts)
+	q.IdleOnly = t.pool.windows[t.rank].full(len(t.pool.Members()), c.router.Hosts)
 	q.Owed, q.Lent = owed, t.pool.lent(at)
 	if !owed {
 		q.Reserve = t.pool.reserve(at, t.rank, c.router.Hosts)
@@ -211,10 +211,9 @@
 	}
 	c.router.Dispatched(at, t.slot, &t.pool.Pool, class, tokens)
 	t.pool.running[t.rank]++
-	t.pending = 0
-	if class > 0 && !t.pool.Plain {
+	if !t.pool.Plain {
 		t.pending = c.router.Rates(t.slot).Prefill(choice.Uncached, 0)
-		t.pool.pending += t.pending
+		t.pool.windows[t.rank].pending += t.pending
 	}
 	if t.retry {
 		action.Retry = t.reason
--- a/decider/feedback.go
+++ b/decider/feedback.go
@@ -24,31 +24,39 @@
 	s.late = min(max(s.late, 0), maxSlack*target)
 }
 
-// window bounds the prefill of lower classes that this host has in flight without a first token, in
+// window bounds the prefill of one rank that this host has in flight without a first token, in
 // seconds for each endpoint of the host's share. First tokens come back without the lag of load
 // reports, so this closes the loop faster than reports do.
-type window struct{ seconds namer.Seconds }
+type window struct {
+	seconds namer.Seconds // limit; 0 until the first use
+	pending namer.Seconds // in flight
+}
 
+// The limits of a window, as parts of the rank's target to the first token.
 const (
-	minWindow   namer.Seconds = 0.5
-	maxWindow   namer.Seconds = 8
-	windowStart namer.Seconds = 2
-	windowCut                 = 0.8
-	windowGrow  namer.Seconds = 0.1
+	windowMin   = 0.05
+	windowStart = 0.25
+	windowMax   = 0.8
+	windowGrow  = 0.01
+	windowCut   = 0.8
 	// A first token later than predicted by this part of its target shows that the hosts together
 	// have more in flight than the endpoints work off.
 	windowLate = 0.15
+	// maxWindow bounds the prefill in flight for ranks with long targets, which gain nothing by
+	// queues at the engines.
+	maxWindow namer.Seconds = 8
 )
 
 func (w *window) learn(late, target namer.Seconds) {
 	if late > windowLate*target {
-		w.seconds = max(minWindow, w.seconds*windowCut)
+		w.seconds = max(windowMin*target, w.seconds*windowCut)
 		return
 	}
-	w.seconds = min(maxWindow, w.seconds+windowGrow)
+	w.seconds = min(windowMax*target, maxWindow, w.seconds+windowGrow*target)
 }
 
-// windowFull reports whether lower classes have as much prefill in flight as the window allows.
-func (p *pool) windowFull(hosts int) bool {
-	return p.pending > p.window.seconds*namer.Seconds(len(p.Members()))/namer.Seconds(hosts)
+// full reports whether the rank has as much prefill in flight as the window allows for the host's
+// share of the endpoints.
+func (w *window) full(endpoints, hosts int) bool {
+	return w.pending > w.seconds*namer.Seconds(endpoints)/namer.Seconds(hosts)
 }
--- a/decider/observe.go
+++ b/decider/observe.go
@@ -25,9 +25,7 @@
 	t.pool.settle(t)
 	target := namer.SecondsOf(t.pool.service.Ranks[t.rank].FirstToken)
 	t.pool.slack[t.rank].learn(at-t.sentAt, t.choice.FirstToken, target)
-	if t.class > 0 {
-		t.pool.window.learn(at-t.sentAt-t.choice.FirstToken, target)
-	}
+	t.pool.windows[t.rank].learn(at-t.sentAt-t.choice.FirstToken, target)
 	c.router.Heard(at, t.slot)
 	took := at - t.sentAt
 	if took > slowFactor*t.choice.FirstToken+slowMin {
@@ -92,9 +90,10 @@
 // plainSlowdown is the rise of a plain service's latency over its idle one that counts as overload.
 const plainSlowdown = 3
 
-// settle takes an attempt out of the window of lower classes.
+// settle takes an attempt out of the window of its rank.
 func (p *pool) settle(t *tracked) {
-	p.pending = max(0, p.pending-t.pending)
+	w := &p.windows[t.rank]
+	w.pending = max(0, w.pending-t.pending)
 	t.pending = 0
 }
 
--- a/decider/pool.go
+++ b/decider/pool.go
@@ -27,10 +27,8 @@
 	running []int           // attempts in flight by rank
 	seen    []namer.Seconds // last arrival by rank
 	demand  demand
-	// pending is the prefill time of own attempts below the most urgent class without a first token.
-	pending namer.Seconds
-	slack   []slack // by rank
-	window  window
+	slack   []slack       // by rank
+	windows []window      // by rank
 	owedAt  namer.Seconds // last dispatch on a rank's share
 }
 
@@ -94,7 +92,7 @@
 	capacity := float64(len(members)) / float64(c.router.Hosts)
 	p, known := c.byKey[key]
 	if !known {
-		p = &pool{key: key, queue: admitter.NewQueue(c.random, rules, capacity), window: window{windowStart}, owedAt: -lentFor}
+		p = &pool{key: key, queue: admitter.NewQueue(c.random, rules, capacity), owedAt: -lentFor}
 		c.pools = append(c.pools, p)
 		c.byKey[key] = p
 	} else {
@@ -118,18 +116,24 @@
 func (p *pool) reshape(service ServiceView) {
 	n := len(service.Ranks)
 	budgets, running, seen, late := make([]retrier.Budget, n), make([]int, n), make([]namer.Seconds, n), make([]slack, n)
+	windows := make([]window, n)
 	for i := range seen {
 		seen[i] = -activeFor
+		windows[i].seconds = namer.SecondsOf(service.Ranks[i].FirstToken) * windowStart
 	}
 	for i, old := range p.service.Ranks {
 		j := slices.IndexFunc(service.Ranks, func(r RankView) bool { return r.Name == old.Name })
 		if j < 0 {
 			running[n-1] += p.running[i]
+			windows[n-1].pending += p.windows[i].pending
 			continue
 		}
 		budgets[j], seen[j], late[j] = p.budgets[i], p.seen[i], p.slack[i]
 		running[j] += p.running[i]
+		windows[j].seconds = p.windows[i].seconds
+		windows[j].pending += p.windows[i].pending
 	}
+	p.windows = windows
 	p.service, p.budgets, p.running, p.seen, p.slack = service, budgets, running, seen, late
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -4,8 +4,8 @@
 package router
 
 import (
-	"fmt"
 	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
