Keep long prompts on a rank's share behind urgent work at the engine

Cause: an owed prompt of 20,000 to 60,000 tokens ran with the most urgent priority and held up urgent ones. Change: only owed requests below 1 s of engine time are raised. Lent engines, an order of engines for such prompts that all hosts agree on, are removed: no gain.

--- a/decider/arrive.go
+++ b/decider/arrive.go
@@ -154,20 +154,21 @@
 	}
 }
 
+// maxOwedCost is the engine time from which a request does not get the most urgent priority on its
+// rank's share: urgent requests would miss their target behind a prompt of a second.
+const maxOwedCost namer.Seconds = 1
+
 // place dispatches a request if an endpoint has room for it. A request that its rank is owed runs
 // with the most urgent priority, because the engine would otherwise let it wait behind the flood.
 func (c *Core) place(at namer.Seconds, t *tracked, owed bool) bool {
 	class := t.rank
-	if owed {
+	if owed && t.cost < maxOwedCost {
 		class = 0
 	}
 	choice, ok := c.pick(at, t, class, owed, t.budget(at))
 	if !ok {
 		return false
 	}
-	if owed {
-		t.pool.owedAt = at
-	}
 	c.dispatch(at, t, choice, class)
 	return true
 }
@@ -187,7 +188,6 @@
 		Budget: budget - t.pool.slack[t.rank].late, Exclude: t.exclude, Repeatable: t.request.Idempotent,
 	}
 	q.IdleOnly = t.pool.windows[t.rank].full(len(t.pool.Members()), c.router.Hosts)
-	q.Owed, q.Lent = owed, t.pool.lent(at)
 	if !owed {
 		q.Reserve = t.pool.reserve(at, t.rank, c.router.Hosts)
 	}
--- a/decider/pool.go
+++ b/decider/pool.go
@@ -27,9 +27,8 @@
 	running []int           // attempts in flight by rank
 	seen    []namer.Seconds // last arrival by rank
 	demand  demand
-	slack   []slack       // by rank
-	windows []window      // by rank
-	owedAt  namer.Seconds // last dispatch on a rank's share
+	slack   []slack  // by rank
+	windows []window // by rank
 }
 
 // demand is the offered work, refused requests included, as decayed sums.
@@ -92,7 +91,7 @@
 	capacity := float64(len(members)) / float64(c.router.Hosts)
 	p, known := c.byKey[key]
 	if !known {
-		p = &pool{key: key, queue: admitter.NewQueue(c.random, rules, capacity), owedAt: -lentFor}
+		p = &pool{key: key, queue: admitter.NewQueue(c.random, rules, capacity)}
 		c.pools = append(c.pools, p)
 		c.byKey[key] = p
 	} else {
@@ -162,21 +161,6 @@
 	return least
 }
 
-// lentFor is how long after a dispatch on a rank's share its engines stay lent.
-const lentFor namer.Seconds = 5
-
-// lent returns how many engines carry the shares of less urgent ranks now.
-func (p *pool) lent(now namer.Seconds) float64 {
-	if now-p.owedAt >= lentFor {
-		return 0
-	}
-	share := 0.0
-	for _, r := range p.service.Ranks[1:] {
-		share += r.Share
-	}
-	return math.Ceil(share * float64(len(p.Members())))
-}
-
 // reserve returns the slots of each endpoint to keep free for more urgent ranks: the spread of
 // their number, since their present number is counted as running.
 func (p *pool) reserve(now namer.Seconds, rank, hosts int) float64 {
--- a/router/pick.go
+++ b/router/pick.go
@@ -19,12 +19,6 @@
 	Budget namer.Seconds
 	// Reserve is the number of slots of each endpoint that stay free for more urgent ranks.
 	Reserve float64
-	// Lent is the number of engines, first in the order of names, that carry the long prompts of
-	// ranks that are owed their share during a flood of urgent work. All hosts see the same order,
-	// so they agree without talking to each other.
-	Lent float64
-	// Owed marks a request that runs on its rank's share.
-	Owed bool
 	// IdleOnly restricts the choice to idle endpoints.
 	IdleOnly   bool
 	Exclude    Slot // endpoint of the failed attempt, or None
@@ -49,10 +43,6 @@
 	harmWeight = 0.05
 	// sufferWeight prices the time that waiting prefill of others slows this request's output.
 	sufferWeight = 0.1
-	// lentWeight makes a long owed prompt wait this many times its prefill rather than run on an
-	// engine that is not lent; lentPrice is the wait that urgent requests accept elsewhere.
-	lentWeight = 2.0
-	lentPrice  = 0.4
 	// noiseWeight scales the random term that keeps hosts with the same report apart.
 	noiseWeight = 1.0
 	// lowBacklog bounds the prefill that lower classes queue at an engine; more waits in the
@@ -191,7 +181,7 @@
 	if !f.inTime(e, running, wait, first) {
 		return
 	}
-	score := float64(first) + f.output(e, running, pace) + f.harm(e, own) + f.lent(s, own) + f.noise(e, running)
+	score := float64(first) + f.output(e, running, pace) + f.harm(e, own) + f.noise(e, running)
 	f.whole.offer(s, score, first, uncached, ahead)
 }
 
@@ -266,21 +256,6 @@
 	return harmWeight * float64(own) * float64(e.urgent*f.router.Hosts)
 }
 
-// lent keeps urgent requests off the lent engines and long prompts with a right to run on them.
-func (f *search) lent(s Slot, own namer.Seconds) float64 {
-	if f.query.Lent == 0 {
-		return 0
-	}
-	lent := float64(f.pool.place[s]) < f.query.Lent
-	switch {
-	case f.query.Owed && !lent:
-		return lentWeight * float64(own)
-	case !f.query.Owed && lent && f.query.Class == 0:
-		return lentPrice
-	}
-	return 0
-}
-
 // noise grows with the work that other hosts may have sent since the report.
 func (f *search) noise(e *endpoint, running float64) float64 {
 	age := float64(f.now - e.reportAt)
--- a/router/router.go
+++ b/router/router.go
@@ -356,11 +356,10 @@
 	// TransferTime is the time to move the KV cache of one token between engines.
 	TransferTime namer.Seconds
 
-	members []Slot  // nearest first
-	near    int     // members at about the least distance
-	place   []int32 // by slot: position of the member in the order that all hosts agree on
-	split   bool    // some members process only prompts
-	ejected int     // members that are ejected
+	members []Slot // nearest first
+	near    int    // members at about the least distance
+	split   bool   // some members process only prompts
+	ejected int    // members that are ejected
 
 	flow   [Classes]float64 // own prompt tokens sent, decayed
 	others [Classes]float64 // prompt tokens a second that other hosts send to one member
@@ -376,12 +375,6 @@
 	slices.SortStableFunc(members, func(a, b Slot) int {
 		return cmp.Or(cmp.Compare(r.endpoints[a].Distance, r.endpoints[b].Distance), cmp.Compare(a, b))
 	})
-	byName := slices.Clone(members)
-	slices.SortFunc(byName, func(a, b Slot) int { return cmp.Compare(r.endpoints[a].Name, r.endpoints[b].Name) })
-	p.place = make([]int32, len(r.endpoints))
-	for i, s := range byName {
-		p.place[s] = int32(i)
-	}
 	p.near = 0
 	for _, s := range members {
 		if r.endpoints[s].Distance <= r.endpoints[members[0]].Distance+nearBand {
