--- a/router/router.go
+++ b/router/router.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -425,8 +424,3 @@
 	}
 	return 0
 }
-
-func (r *Router) Debug(s Slot) string {
-	e := &r.endpoints[s]
-	return fmt.Sprintf("%s run %.1f (rep %.0f since %.0f own %d) backlog %.0f others? age", e.Name, e.running(r.Hosts), e.reported, e.since, e.own, e.backlog)
-}
