Test the decision core and take the allocations out of the routing path

A returning request no longer moves its lane's virtual time, which a property test had found to break an invariant.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -193,7 +193,9 @@
 	e := l.entries[0]
 	asserter.Check(e.tag >= l.virtual || e.Forced, "virtual time never runs backwards", "tag %v virtual %v", e.tag, l.virtual)
 	l.remove(e.ID)
-	l.virtual = max(l.virtual, e.tag)
+	if !e.Forced { // a returning request is served out of turn
+		l.virtual = max(l.virtual, e.tag)
+	}
 	q.spend(now, rank, e.Cost)
 	return e
 }
--- a/decider/fake_test.go
+++ b/decider/fake_test.go
@@ -30,15 +30,13 @@
 }
 
 type engine struct {
-	name           namer.Endpoint
-	speed          float64
-	jobs           []*job
-	cache          map[uint64]bool
-	stepped        bool // a step is scheduled
-	dead           bool
-	silent         bool
-	prefill        float64 // tokens processed, by all ranks
-	busy, streamed float64
+	name    namer.Endpoint
+	speed   float64
+	jobs    []*job
+	cache   map[uint64]bool
+	stepped bool // a step is scheduled
+	dead    bool
+	silent  bool
 }
 
 type event struct {
@@ -93,7 +91,8 @@
 	finals  map[namer.StreamID]int
 	retries int
 	sends   int
-	// refusing engines answer every dispatch with this reason, not run.
+	// onDispatch answers a dispatch in the place of the engine, if it returns true.
+	onRefuse   func(decider.Action)
 	onDispatch func(a decider.Action) (decider.Event, bool)
 }
 
@@ -199,7 +198,7 @@
 	w.after(after, func() {
 		core := w.random.IntN(len(w.cores))
 		r.ID = namer.StreamID(fmt.Sprintf("%08d", len(w.jobs)))
-		r.Service, r.Model, r.Idempotent = "chat", "m", true
+		r.Service, r.Model = "chat", "m"
 		if r.Deadline.IsZero() {
 			r.Deadline = w.at().Add(2 * time.Minute)
 		}
@@ -216,6 +215,9 @@
 		case decider.ActionRefuse:
 			w.finals[a.Request]++
 			w.tallies[j.request.Rank].refused++
+			if w.onRefuse != nil {
+				w.onRefuse(a)
+			}
 		case decider.ActionCancel:
 			j.gone = true
 			copied := *j
@@ -298,11 +300,8 @@
 			}
 		}
 	}
-	e.prefill += tokens
 	e.stepped = true
-	e.streamed += streams
 	seconds := (stepBase + stepStream*streams + stepToken*tokens) / e.speed
-	e.busy += seconds
 	w.after(time.Duration(seconds*float64(time.Second)), func() { w.stepEnd(e, advanced) })
 }
 
@@ -355,6 +354,21 @@
 	})
 }
 
+// cancelSoon makes the caller of a request leave.
+func (w *world) cancelSoon(number int) {
+	after := time.Duration(w.random.Int64N(int64(10 * time.Second)))
+	w.after(after, func() {
+		id := namer.StreamID(fmt.Sprintf("%08d", number))
+		j, known := w.jobs[id]
+		if !known || w.finals[id] > 0 {
+			return
+		}
+		w.finals[id]++
+		w.act(j.core, w.cores[j.core].Observe(w.at(), decider.Event{Kind: decider.EventCancelled, Request: id}))
+		j.gone = true
+	})
+}
+
 // kill ends an engine; its attempts break.
 func (w *world) kill(e *engine) {
 	e.dead = true
@@ -371,17 +385,3 @@
 		return decider.Event{}, false
 	}
 }
-
-func (w *world) print(label string) {
-	for _, n := range w.order {
-		e := w.engines[n]
-		fmt.Printf("[%.2f %.0fk %.0fk] ", e.busy/60, e.prefill/1000, e.streamed/1000)
-	}
-	fmt.Println()
-	for _, r := range w.ranks {
-		t := w.tallies[r.Name]
-		fmt.Printf("%-22s %-7s offered %6d served %6d met %6d (%.3f of offered, %.3f of served) paced %.3f refused %6d p50 %.3f p95 %.3f work %.1f\n",
-			label, r.Name, t.offered, t.served, t.met, float64(t.met)/float64(max(1, t.offered)), float64(t.met)/float64(max(1, t.served)),
-			float64(t.paced)/float64(max(1, t.served)), t.refused, t.quantile(0.5), t.quantile(0.95), t.work)
-	}
-}
--- a/router/pick.go
+++ b/router/pick.go
@@ -75,7 +75,8 @@
 	query  *Query
 	now    namer.Seconds
 	levels []match
-	forced bool // health is ignored, because most members are ejected
+	unseen float64 // prompt tokens a second of other hosts at a member, up to the query's class
+	forced bool    // health is ignored, because most members are ejected
 
 	whole, prefill, decode best
 }
@@ -90,6 +91,9 @@
 	f := search{router: r, pool: p, query: q, now: now, levels: found[:levels]}
 	f.whole.slot, f.prefill.slot, f.decode.slot = None, None, None
 	f.forced = p.mostEjected()
+	for c := 0; c <= min(q.Class, Classes-1); c++ {
+		f.unseen += p.others[c]
+	}
 	if len(p.members) <= scanAll {
 		for _, s := range p.members {
 			f.consider(s)
@@ -175,13 +179,14 @@
 	if !f.room(e, running) {
 		return
 	}
-	wait, own, uncached, ahead := f.prompt(s, e, running)
+	perToken := e.Rates.Prefill(1, running)
+	wait, own, uncached, ahead := f.prompt(s, e, perToken)
 	pace := float64(e.Rates.Token(running + 1))
 	first := wait + own + 2*e.Distance + namer.Seconds(pace)
 	if !f.inTime(e, running, wait, first) {
 		return
 	}
-	score := float64(first) + f.output(e, running, pace) + f.harm(e, own) + f.noise(e, running)
+	score := float64(first) + f.output(e, perToken, pace) + f.harm(e, own) + f.noise(e, perToken)
 	f.whole.offer(s, score, first, uncached, ahead)
 }
 
@@ -193,16 +198,17 @@
 	if !f.room(e, running) {
 		return
 	}
+	perToken := e.Rates.Prefill(1, running)
 	if e.Role == namer.RolePrefill {
-		wait, own, uncached, ahead := f.prompt(s, e, running)
+		wait, own, uncached, ahead := f.prompt(s, e, perToken)
 		if first := wait + own + 2*e.Distance; f.inTime(e, running, wait, first) {
-			f.prefill.offer(s, float64(first)+f.noise(e, running), first, uncached, ahead)
+			f.prefill.offer(s, float64(first)+f.noise(e, perToken), first, uncached, ahead)
 		}
 		return
 	}
 	pace := float64(e.Rates.Token(running + 1))
 	first := 2*e.Distance + namer.Seconds(pace) + namer.Seconds(f.query.Prompt)*f.pool.TransferTime
-	f.decode.offer(s, float64(first)+f.output(e, running, pace)+f.noise(e, running), first, 0, 0)
+	f.decode.offer(s, float64(first)+f.output(e, perToken, pace)+f.noise(e, perToken), first, 0, 0)
 }
 
 // room reports whether the endpoint has a free slot for the class of the query.
@@ -230,25 +236,24 @@
 }
 
 // prompt predicts the wait for prefill and the prefill itself.
-func (f *search) prompt(s Slot, e *endpoint, running float64) (wait, own namer.Seconds, uncached, ahead float64) {
+func (f *search) prompt(s Slot, e *endpoint, perToken namer.Seconds) (wait, own namer.Seconds, uncached, ahead float64) {
 	class := min(f.query.Class, Classes-1)
 	for c := 0; c <= class; c++ {
 		ahead += e.backlog[c]
 	}
 	uncached = f.query.Prompt - float64(cachedBy(s, f.levels)*BlockTokens)
 	uncached = max(1, uncached)
-	perToken := e.Rates.Prefill(1, running)
 	return namer.Seconds(ahead) * perToken, namer.Seconds(uncached) * perToken, uncached, ahead
 }
 
 // output prices the generation of the output beside the running requests and waiting prefill.
-func (f *search) output(e *endpoint, running, pace float64) float64 {
+func (f *search) output(e *endpoint, perToken namer.Seconds, pace float64) float64 {
 	generate := f.query.Output * pace
 	waiting := 0.0
 	for _, tokens := range e.backlog {
 		waiting += tokens
 	}
-	suffer := min(float64(e.Rates.Prefill(waiting, running)), generate)
+	suffer := min(waiting*float64(perToken), generate)
 	return decodeWeight*generate + sufferWeight*suffer
 }
 
@@ -257,13 +262,9 @@
 }
 
 // noise grows with the work that other hosts may have sent since the report.
-func (f *search) noise(e *endpoint, running float64) float64 {
+func (f *search) noise(e *endpoint, perToken namer.Seconds) float64 {
 	age := float64(f.now - e.reportAt)
-	unseen := 0.0
-	for c := 0; c <= min(f.query.Class, Classes-1); c++ {
-		unseen += f.pool.others[c]
-	}
-	seconds := float64(e.Rates.Prefill(unseen*min(age, flowTime), running))
+	seconds := f.unseen * min(age, flowTime) * float64(perToken)
 	return noiseWeight * (0.002 + min(seconds, 1)) * f.router.Random.Float64()
 }
 
--- a/router/prefix.go
+++ b/router/prefix.go
@@ -138,48 +138,33 @@
 // matches finds the deepest blocks of the prompt that any endpoint holds, deepest first: a long
 // conversation held by one endpoint and, above it, a system prompt held by many.
 func (p *prefixes) matches(prompt []uint64, found *[maxLevels]match) int {
-	n := 0
-	high := len(prompt)
-	for n < maxLevels && high > 0 {
-		depth, b := p.deepest(prompt[:high])
-		if b == nil {
+	n, depth, holders := 0, len(prompt), uint8(0)
+	for n < maxLevels && depth > 0 && holders < maxHolders {
+		m := p.deepest(prompt[:depth], holders)
+		if m.block == nil {
 			break
 		}
-		found[n] = match{depth, b}
+		found[n] = m
 		n++
-		high = p.widening(prompt[:depth], b)
+		depth, holders = m.depth-1, m.block.n
 	}
 	return n
 }
 
-// deepest searches for the last held block, taking holding as monotone: engines drop the ends of
-// prompts first.
-func (p *prefixes) deepest(prompt []uint64) (int, *block) {
+// deepest searches for the last block with more holders than given. It takes their number as
+// falling with depth, since engines drop the ends of prompts first.
+func (p *prefixes) deepest(prompt []uint64, holders uint8) match {
 	low, high := 0, len(prompt) // low blocks are held, high is not known to be
 	var at *block
 	for low < high {
 		middle := (low + high + 1) / 2
-		if b := p.find(prompt[middle-1]); b != nil {
+		if b := p.find(prompt[middle-1]); b != nil && b.n > holders {
 			low, at = middle, b
 		} else {
 			high = middle - 1
 		}
 	}
-	return low, at
-}
-
-// widening returns the length of the longest prefix whose last block has more holders than b.
-func (p *prefixes) widening(prompt []uint64, b *block) int {
-	low, high := 0, len(prompt)-1
-	for low < high {
-		middle := (low + high + 1) / 2
-		if wider := p.find(prompt[middle-1]); wider != nil && wider.n > b.n {
-			low = middle
-		} else {
-			high = middle - 1
-		}
-	}
-	return low
+	return match{low, at}
 }
 
 // cachedBy returns how many leading blocks the endpoint holds.
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,181 @@
+package router_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"apricotspool/namer"
+	"apricotspool/router"
+)
+
+// Property tests use the same cases in every run unless the command line sets another seed.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+func query(prompt float64) *router.Query {
+	return &router.Query{Prompt: prompt, Output: 100, Budget: 10, Exclude: router.None, Repeatable: true}
+}
+
+// Guards against a choice that may not be made: a leaving, excluded or full endpoint.
+func TestPickKeepsToWhatIsAllowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{1, 3, 16, 33, 200}).Draw(t, "endpoints")
+		r, p := fleet(n, 4)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		allowed := map[router.Slot]bool{}
+		q := query(1000)
+		for i, s := range p.Members() {
+			switch random.IntN(4) {
+			case 0:
+				r.Leave(s, true)
+			case 1:
+				r.Report(3, s, p, router.Load{At: 2, Requests: 64})
+			case 2:
+				if i == 0 {
+					q.Exclude = s
+					continue
+				}
+				allowed[s] = true
+			default:
+				allowed[s] = true
+			}
+		}
+		choice, ok := r.Pick(3, p, q)
+		if ok != (len(allowed) > 0) || (ok && !allowed[choice.Slot]) {
+			t.Fatalf("chose %v (%v) of %d allowed endpoints", choice.Slot, ok, len(allowed))
+		}
+	})
+}
+
+// Guards against hosts that all send to the endpoint which the last report shows as the least
+// loaded: eight hosts with the same reports must spread their work.
+func TestHostsWithTheSameReportsSpread(t *testing.T) {
+	is := is.New(t)
+	counts := map[router.Slot]int{}
+	for host := range 8 {
+		r, p := fleet(8, 8)
+		r.Random = rand.New(rand.NewPCG(uint64(host), 9))
+		for i, s := range p.Members() {
+			r.Report(5, s, p, router.Load{At: 1, Requests: 10 + float64(i)})
+		}
+		now := namer.Seconds(5)
+		for range 10 {
+			now += 0.01
+			choice, ok := r.Pick(now, p, query(1000))
+			is.True(ok)
+			r.Dispatched(now, choice.Slot, p, 0, choice.Uncached)
+			counts[choice.Slot]++
+		}
+	}
+	for _, n := range counts {
+		is.True(n <= 20) // twice an even part of the 80
+	}
+}
+
+// Guards against losing cached prefixes, and against following them into a long queue.
+func TestPrefixIsWorthItsSavingAndNoMore(t *testing.T) {
+	is := is.New(t)
+	r, p := fleet(16, 1)
+	q := query(12_000)
+	q.Prefix = prefix(7, 40)
+	holder := p.Members()[9]
+	r.Report(2, holder, p, router.Load{At: 1.9})
+	r.Cache(holder, q.Prefix, nil, false)
+	choice, _ := r.Pick(2, p, q)
+	is.Equal(choice.Slot, holder)
+	is.Equal(choice.Uncached, 12_000-40*256.0)
+	r.Report(3, holder, p, router.Load{At: 2.9, Requests: 20, Prefill: 30_000}) // 4 s of queue for a saving of 1.3 s
+	choice, _ = r.Pick(3, p, q)
+	is.True(choice.Slot != holder)
+	r.Report(4, holder, p, router.Load{At: 3.9})
+	r.Cache(holder, nil, nil, true) // a gap in the events: nothing is known of the cache
+	choice, _ = r.Pick(4, p, q)
+	is.Equal(choice.Uncached, 12_000.0)
+}
+
+// Guards against long prompts beside urgent streams while another engine is free of them.
+func TestLongPromptsKeepOffUrgentStreams(t *testing.T) {
+	is := is.New(t)
+	r, p := fleet(2, 6)
+	for _, s := range p.Members() {
+		r.Report(2, s, p, router.Load{At: 1.9, Requests: 4})
+	}
+	for range 4 {
+		r.Dispatched(2, p.Members()[0], p, 0, 0) // urgent streams
+		r.Dispatched(2, p.Members()[1], p, 1, 0) // others
+	}
+	q := query(40_000)
+	q.Class = 1
+	for range 20 {
+		choice, ok := r.Pick(3, p, q)
+		is.True(ok)
+		is.Equal(choice.Slot, p.Members()[1])
+	}
+}
+
+// Guards against an endpoint that fails and keeps getting work, one that is never used again, and
+// probes with calls that must not be repeated.
+func TestEjectionAndReadmission(t *testing.T) {
+	is := is.New(t)
+	r, p := fleet(3, 1)
+	bad := p.Members()[0]
+	for range 3 {
+		r.Failed(10, bad)
+	}
+	is.True(r.Ejected(bad))
+	chosen := func(now namer.Seconds, repeatable bool) bool {
+		q := query(100)
+		q.Repeatable = repeatable
+		for _, s := range p.Members()[1:] {
+			r.Report(now, s, p, router.Load{At: now, Requests: 64}) // only the ejected one has room
+		}
+		choice, ok := r.Pick(now, p, q)
+		return ok && choice.Slot == bad
+	}
+	is.True(!chosen(10.5, true)) // within the first ejection of about a second
+	is.True(!chosen(12, false))
+	for range 3 {
+		is.True(chosen(12, true))
+		r.Dispatched(12, bad, p, 0, 0)
+		is.True(!chosen(12, true)) // one probe at a time
+		r.Ended(12, bad, 0, 0)
+		r.Succeeded(bad)
+	}
+	is.True(!r.Ejected(bad))
+	is.True(chosen(12, false))
+}
+
+// Guards against an ejection of everything, which would turn a fault elsewhere into an outage.
+func TestEndpointsAreUsedWhenMostAreEjected(t *testing.T) {
+	is := is.New(t)
+	r, p := fleet(3, 1)
+	for _, s := range p.Members() {
+		r.Reachable(10, s, false)
+	}
+	_, ok := r.Pick(10, p, query(100))
+	is.True(ok)
+}
+
+// Guards against a split of prefill and decode that ignores the cost of moving the KV cache.
+func TestPrefillEnginesAreUsedWhereTheTransferPays(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		transfer namer.Seconds
+		want     bool
+	}{{1e-5, true}, {1e-2, false}} {
+		r, p := fleet(3, 1)
+		p.TransferTime = c.transfer
+		m := p.Members()
+		r.Report(2, m[0], p, router.Load{At: 2, Role: namer.RolePrefill})
+		r.Report(2, m[1], p, router.Load{At: 2, Role: namer.RoleDecode, Requests: 5})
+		r.Report(2, m[2], p, router.Load{At: 2, Requests: 30, Prefill: 5000})
+		r.Roles(p)
+		choice, ok := r.Pick(2, p, query(2000))
+		is.True(ok)
+		is.Equal(choice.Prefill == m[0] && choice.Slot == m[1], c.want)
+		is.Equal(choice.Prefill == router.None && choice.Slot == m[2], !c.want)
+	}
+}
