Retune the weights of the routing score

Cause: random terms and the price of decoding moved requests to farther queues for no gain. Change: noise weight 1 -> 0.1, decode weight 0.25 -> 0.1, herd 0.5 -> 1.

--- a/decider/fake_test.go
+++ b/decider/fake_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -62,17 +61,8 @@
 
 // tally counts the results of one rank.
 type tally struct {
-	offered, served, met, paced, refused, failed int
-	first                                        []float64
-	work                                         float64 // engine seconds of served requests
-}
-
-func (t *tally) quantile(q float64) float64 {
-	if len(t.first) == 0 {
-		return math.NaN()
-	}
-	slices.Sort(t.first)
-	return t.first[int(q*float64(len(t.first)-1))]
+	offered, served, met, refused int
+	work                          float64 // engine seconds of served requests
 }
 
 type world struct {
@@ -341,12 +331,8 @@
 		first := j.started + time.Millisecond - j.arrived
 		between := (w.now - j.started) / time.Duration(max(1, j.output-1))
 		t.served++
-		t.first = append(t.first, first.Seconds())
 		t.work += stepToken*float64(j.request.PromptTokens) + (stepBase/32+stepStream)*float64(j.output)
 		inPace := between <= w.ranks[i].BetweenTokens
-		if inPace {
-			t.paced++
-		}
 		if inPace && first <= w.ranks[i].FirstToken {
 			t.met++
 		}
--- a/router/pick.go
+++ b/router/pick.go
@@ -37,14 +37,14 @@
 // Weights of the score, in seconds a second. See docs/measurements-decisions.md for the rounds.
 const (
 	// decodeWeight prices the time to generate the output, which balances the batch sizes.
-	decodeWeight = 0.25
+	decodeWeight = 0.1
 	// harmWeight prices the time that a prompt's prefill slows the urgent streams of its engine. It
 	// keeps long prompts together and away from urgent streams without a fixed partition.
 	harmWeight = 0.05
 	// sufferWeight prices the time that waiting prefill of others slows this request's output.
 	sufferWeight = 0.1
 	// noiseWeight scales the random term that keeps hosts with the same report apart.
-	noiseWeight = 1.0
+	noiseWeight = 0.1
 	// lowBacklog bounds the prefill that lower classes queue at an engine; more waits in the
 	// hosts' queues, where shares and fairness hold.
 	lowBacklog namer.Seconds = 1.0
--- a/router/router.go
+++ b/router/router.go
@@ -155,7 +155,7 @@
 
 // herd is the part of the other hosts that is expected to follow the same report to the same
 // endpoint. With 0 eight hosts overfill the endpoint that the report shows as idle.
-const herd = 0.5
+const herd = 1.0
 
 func (e *endpoint) running(hosts int) float64 {
 	since := e.since
