--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,6 +1,5 @@
-// Package dispatcher runs the control goroutine of a daemon. That goroutine alone owns the decision
-// core: traffic goroutines hand it requests and events through a channel, and it hands their actions
-// back. Chunks of answers never pass through it.
+// Package dispatcher owns the control state of a daemon: one goroutine feeds events to decider.Core
+// and hands its actions to the goroutines that serve the requests. Chunks never pass through it.
 package dispatcher
 
 import (
@@ -9,26 +8,27 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"apricotspool/asserter"
+	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/namer"
 )
 
-// DefaultTick is how often the core decides what time alone makes due.
-const DefaultTick = 20 * time.Millisecond
-
-// inboxSize lets bursts of events wait without blocking the traffic goroutines that report them.
-const inboxSize = 4096
-
-// actionBuffer is more than the actions that one request gets at once, so that the control goroutine
-// never waits for a traffic goroutine.
-const actionBuffer = 16
+// Limits of the dispatcher.
+const (
+	DefaultTick = 10 * time.Millisecond
+	inboxSize   = 1024
+	// maxActions is the most actions that wait for one request's goroutine. A request has a few
+	// attempts, each with a dispatch and perhaps a cancellation.
+	maxActions = 16
+)
 
-// ErrStopped means that the dispatcher has stopped and takes no more requests.
-var ErrStopped = errors.New("dispatcher has stopped")
+// ErrStopped means that the dispatcher does not run; the request was not seen by the core.
+var ErrStopped = errors.New("dispatcher does not run")
 
-// Core is the decision core. decider.Core implements it.
+// Core decides; decider.Core is the one of the daemon.
 type Core interface {
 	Configure(now time.Time, fleet decider.Fleet)
 	Arrive(now time.Time, r decider.Request) []decider.Action
@@ -36,103 +36,138 @@
 	Tick(now time.Time) []decider.Action
 }
 
-// Dispatcher owns a core. Set the exported fields before Run.
+// Retries counts repeated attempts by reason.
+type Retries interface {
+	Retry(reason classifier.RetryReason)
+}
+
+// Dispatcher runs a Core. Set the exported fields before Run.
 type Dispatcher struct {
-	Core Core
-	Tick time.Duration // 0 means DefaultTick
+	Core    Core
+	Retries Retries
+	Log     zerolog.Logger
+	Tick    time.Duration // how often time is reported to the core; 0 means DefaultTick
 
-	once    sync.Once
-	done    chan struct{}
 	inbox   chan message
-	tickets map[namer.StreamID]*Ticket // owned by the control goroutine
-}
-
-// Ticket is one request's place in the dispatcher.
-type Ticket struct {
-	// Actions carries the decisions about the request, in order.
-	Actions <-chan decider.Action
-	actions chan decider.Action
-	id      namer.StreamID
-	parent  *Dispatcher
+	done    chan struct{}
+	once    sync.Once
+	tickets map[namer.StreamID]*Ticket // owned by Run
 }
 
-// message is one piece of work for the control goroutine. Exactly one field is set, but for a
-// request, which comes with its ticket.
+// message is one piece of news for the control goroutine. Only the fields of its kind are set.
 type message struct {
-	request *decider.Request
-	ticket  *Ticket
-	event   *decider.Event
-	fleet   *decider.Fleet
-	closed  namer.StreamID
+	arrive *Ticket
+	event  *decider.Event
+	fleet  *decider.Fleet
 }
 
 func (d *Dispatcher) init() {
 	d.once.Do(func() {
-		d.done = make(chan struct{})
 		d.inbox = make(chan message, inboxSize)
-		d.tickets = map[namer.StreamID]*Ticket{}
-		if d.Tick == 0 {
-			d.Tick = DefaultTick
-		}
+		d.done = make(chan struct{})
 	})
 }
 
-// Done closes when Run has returned.
+// Done closes when the control goroutine has ended.
 func (d *Dispatcher) Done() <-chan struct{} {
 	d.init()
 	return d.done
 }
 
-// Run owns the core until ctx ends. It runs once.
+// Run owns the core until ctx ends. It ends all waiting requests when it returns and can't run again.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	d.init()
-	defer close(d.done)
-	ticker := time.NewTicker(d.Tick)
-	defer ticker.Stop()
+	d.tickets = map[namer.StreamID]*Ticket{}
+	defer d.stop()
+	period := d.Tick
+	if period == 0 {
+		period = DefaultTick
+	}
+	tick := time.NewTicker(period)
+	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-d.inbox:
-			d.handle(time.Now(), m)
-		case now := <-ticker.C:
-			d.deliver(d.Core.Tick(now))
+			d.handle(m)
+		case now := <-tick.C:
+			d.perform(d.Core.Tick(now))
 		}
 	}
 }
 
-func (d *Dispatcher) handle(now time.Time, m message) {
+func (d *Dispatcher) stop() {
+	close(d.done)
+	for _, t := range d.tickets {
+		close(t.actions)
+	}
+}
+
+func (d *Dispatcher) handle(m message) {
+	now := time.Now()
 	switch {
-	case m.request != nil:
-		d.tickets[m.request.ID] = m.ticket
-		d.deliver(d.Core.Arrive(now, *m.request))
-	case m.event != nil:
-		d.deliver(d.Core.Observe(now, *m.event))
 	case m.fleet != nil:
 		d.Core.Configure(now, *m.fleet)
-	default:
-		delete(d.tickets, m.closed)
+	case m.arrive != nil:
+		t := m.arrive
+		asserter.Check(d.tickets[t.request.ID] == nil, "a request arrives once", "%+v", t.request)
+		d.tickets[t.request.ID] = t
+		d.perform(d.Core.Arrive(now, t.request))
+	case m.event != nil:
+		d.observe(now, *m.event)
+	}
+}
+
+func (d *Dispatcher) observe(now time.Time, e decider.Event) {
+	if e.Kind == decider.EventFinished || e.Kind == decider.EventCancelled {
+		delete(d.tickets, e.Request)
 	}
+	d.perform(d.Core.Observe(now, e))
 }
 
-// deliver hands actions to their requests. An action for a request that has ended meanwhile is void.
-func (d *Dispatcher) deliver(actions []decider.Action) {
-	for _, action := range actions {
-		ticket, ok := d.tickets[action.Request]
-		if !ok {
+// perform hands actions to the requests' goroutines. It never blocks.
+func (d *Dispatcher) perform(actions []decider.Action) {
+	for _, a := range actions {
+		t := d.tickets[a.Request]
+		if t == nil {
+			// The request ended while the core decided; only a cancellation may still concern it.
+			asserter.Check(a.Kind == decider.ActionCancel, "actions concern requests that are known", "%+v", a)
 			continue
 		}
+		if a.Kind == decider.ActionDispatch && a.Retry != "" && d.Retries != nil {
+			d.Retries.Retry(a.Retry)
+		}
+		if a.Kind == decider.ActionRefuse {
+			delete(d.tickets, a.Request)
+		}
 		select {
-		case ticket.actions <- action:
+		case t.actions <- a:
 		default:
-			asserter.Check(false, "a request's actions fit in its buffer", "request %s, action %+v", action.Request, action)
+			asserter.Check(false, "a request has few actions", "%+v", a)
 		}
 	}
 }
 
+// Configure gives the core a new fleet.
+func (d *Dispatcher) Configure(ctx context.Context, fleet decider.Fleet) error {
+	return d.send(ctx, message{fleet: &fleet})
+}
+
+// Report gives news to the core. It waits only while the inbox is full, which the control goroutine
+// empties until it stops.
+func (d *Dispatcher) Report(e decider.Event) {
+	d.send(context.Background(), message{event: &e}) // a stopped dispatcher has forgotten everything
+}
+
 func (d *Dispatcher) send(ctx context.Context, m message) error {
 	d.init()
 	select {
+	case <-d.done:
+		return ErrStopped
+	default:
+	}
+	select {
 	case d.inbox <- m:
 		return nil
 	case <-d.done:
@@ -141,29 +176,3 @@
 		return ctx.Err()
 	}
 }
-
-// Configure gives the core a new fleet.
-func (d *Dispatcher) Configure(ctx context.Context, fleet decider.Fleet) error {
-	return d.send(ctx, message{fleet: &fleet})
-}
-
-// Submit gives a request to the core. The caller closes the ticket when the request has ended.
-func (d *Dispatcher) Submit(ctx context.Context, r decider.Request) (*Ticket, error) {
-	actions := make(chan decider.Action, actionBuffer)
-	ticket := &Ticket{Actions: actions, actions: actions, id: r.ID, parent: d}
-	if err := d.send(ctx, message{request: &r, ticket: ticket}); err != nil {
-		return nil, err
-	}
-	return ticket, nil
-}
-
-// Report gives news to the core.
-func (d *Dispatcher) Report(e decider.Event) {
-	// The control goroutine drains the inbox until the dispatcher stops, so this can't block for long.
-	_ = d.send(context.Background(), message{event: &e})
-}
-
-// Close ends the request's place in the dispatcher. The last event of the request is reported before.
-func (t *Ticket) Close() {
-	_ = t.parent.send(context.Background(), message{closed: t.id})
-}
