claimer: Run non-idempotent calls at most once with stored answers

Cause: a call that is repeated at another host, or whose daemon dies, must not run twice, and a refusal must be true.

A claim whose create stayed uncertain is refused as not run and removed later.

--- /dev/null
+++ b/claimer/schedule_test.go
@@ -0,0 +1,209 @@
+package claimer_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"apricotspool/classifier"
+	"apricotspool/imitator"
+)
+
+var (
+	schedules = flag.Int("schedules", 100, "number of random schedules")
+	seed      = flag.Uint64("seed", 1, "seed of the random schedules")
+	limit     = flag.Duration("limit", 0, "time after which no new schedule starts; 0 means none")
+)
+
+type fault struct {
+	at   time.Duration
+	kind string
+	slot int
+	d    time.Duration
+}
+
+// attempt is one request of a caller. The caller of a key repeats it at other hosts.
+type attempt struct {
+	at   time.Duration
+	slot int
+	key  int
+	// other says that the request differs from the usual one of its key.
+	other bool
+}
+
+var faultKinds = []string{
+	"kill", "pause", "pause before send", "pause in write", "pause after write", "pause after answer", "shutdown",
+	"refused", "lost answer", "slow service", "outage", "partition", "slow", "lost", "late", "deaf",
+}
+
+const slots = 3
+
+func milliseconds(t *rapid.T, label string, from, to int) time.Duration {
+	return time.Duration(rapid.IntRange(from, to).Draw(t, label)) * time.Millisecond
+}
+
+func drawFault(t *rapid.T) fault {
+	return fault{
+		at: milliseconds(t, "at", 0, 30_000), kind: rapid.SampledFrom(faultKinds).Draw(t, "kind"),
+		slot: rapid.IntRange(0, slots-1).Draw(t, "slot"), d: milliseconds(t, "length", 10, 15_000),
+	}
+}
+
+func drawAttempt(t *rapid.T) attempt {
+	return attempt{
+		at: milliseconds(t, "at", 0, 40_000), slot: rapid.IntRange(0, slots-1).Draw(t, "slot"),
+		key: rapid.IntRange(0, 3).Draw(t, "key"), other: rapid.IntRange(0, 9).Draw(t, "other") == 0,
+	}
+}
+
+func (w *world) strike(ctx context.Context, f fault) {
+	time.Sleep(f.at)
+	d := w.at(f.slot)
+	switch f.kind {
+	case "kill":
+		d.node.Kill()
+		d.cancel()
+		time.Sleep(f.d)
+		w.start(ctx, f.slot)
+	case "shutdown":
+		d.cancel()
+		<-d.Done()
+		w.start(ctx, f.slot)
+	case "pause":
+		d.node.Pause(f.d)
+	case "pause before send":
+		d.node.PauseAt("send", f.d)
+	case "pause in write":
+		d.node.PauseAt("put", f.d)
+	case "pause after write":
+		d.node.PauseAt("put-answer", f.d)
+	case "pause after answer":
+		d.node.PauseAt("answer", f.d)
+	case "refused", "lost answer", "slow service":
+		w.fail(f.kind)
+		time.Sleep(f.d)
+		w.fail("")
+	default:
+		d.node.Trouble(imitator.Trouble(f.kind), 2500*time.Millisecond)
+		time.Sleep(f.d)
+		d.node.Trouble(imitator.Healthy, 0)
+	}
+}
+
+func (w *world) try(ctx context.Context, n int, a attempt) {
+	time.Sleep(a.at)
+	request := "order"
+	if a.other {
+		request = "other order"
+	}
+	ctx, cancel := context.WithTimeout(ctx, 15*time.Second)
+	defer cancel()
+	w.at(a.slot).serve(ctx, strconv.Itoa(a.key), fmt.Sprintf("attempt %d of key %d", n, a.key), request)
+}
+
+// play runs attempts and faults in virtual time, and then repeats every call at each host.
+func (w *world) play(t *testing.T, faults []fault, attempts []attempt) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute)
+		}()
+		for slot := range slots {
+			w.start(ctx, slot)
+		}
+		var group sync.WaitGroup
+		for _, f := range faults {
+			group.Go(func() { w.strike(ctx, f) })
+		}
+		for n, a := range attempts {
+			group.Go(func() { w.try(ctx, n, a) })
+		}
+		group.Wait()
+		for slot := range slots {
+			w.at(slot).node.PauseAt("no point", 0) // pauses that have not struck yet
+		}
+		time.Sleep(2 * time.Minute) // late writes take effect and uncertain claims are removed
+		for key := range 4 {
+			for slot := range slots {
+				n := 1000 + slot
+				result := w.at(slot).serve(ctx, strconv.Itoa(key), fmt.Sprintf("attempt %d of key %d", n, key), "order")
+				w.check(result.Outcome != classifier.StoreUnavailable, "key %d is refused although all faults are over", key)
+			}
+		}
+		w.mu.Lock()
+		executions := maps.Clone(w.executions)
+		w.mu.Unlock()
+		for key, n := range executions {
+			w.check(n <= 1, "key %s was executed %d times", key, n)
+		}
+	})
+}
+
+// Guards P5 and P6 under random faults of daemons, store and service.
+//
+//	go test ./claimer -run TestSchedules -schedules 10000 -seed 1 -limit 10m -v
+func TestSchedules(t *testing.T) {
+	flag.Set("rapid.checks", strconv.Itoa(*schedules))
+	flag.Set("rapid.seed", strconv.FormatUint(*seed, 10))
+	flag.Set("rapid.nofailfile", "true")
+	began, ran, checks, struck, outcomes := time.Now(), 0, 0, map[string]int{}, map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.Custom(drawFault), 0, 8).Draw(rt, "faults")
+		attempts := rapid.SliceOfN(rapid.Custom(drawAttempt), 4, 24).Draw(rt, "attempts")
+		if *limit > 0 && time.Since(began) > *limit {
+			return
+		}
+		w := newWorld()
+		w.play(t, faults, attempts)
+		ran++
+		checks += w.checks
+		for _, f := range faults {
+			struck[f.kind]++
+		}
+		for outcome, n := range w.outcomes {
+			outcomes[string(outcome)] += n
+		}
+		if found := w.found(); len(found) > 0 {
+			rt.Fatalf("violations:\n%s", strings.Join(found, "\n"))
+		}
+	})
+	t.Logf("schedules=%d seed=%d invariants-checked=%d outcomes: %s; faults: %s", ran, *seed, checks, table(outcomes), table(struck))
+}
+
+func table(counts map[string]int) string {
+	var text []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		text = append(text, fmt.Sprintf("%s=%d", name, counts[name]))
+	}
+	return strings.Join(text, ", ")
+}
+
+// Guards P5 and P6 when one or two faults strike the daemon that has claimed a call, while the
+// caller repeats it at every host, once with another request.
+func TestFaultsInPairs(t *testing.T) {
+	attempts := []attempt{{at: 3 * time.Second}}
+	for i := range 12 {
+		attempts = append(attempts, attempt{at: 3*time.Second + time.Duration(i)*1700*time.Millisecond, slot: i % slots, other: i == 5})
+	}
+	for _, first := range faultKinds {
+		for _, second := range faultKinds {
+			t.Run(first+" and "+second, func(t *testing.T) {
+				w := newWorld()
+				w.play(t, []fault{{2900 * time.Millisecond, first, 0, 5 * time.Second}, {3100 * time.Millisecond, second, 0, 12 * time.Second}}, attempts)
+				is.New(t).Equal(w.found(), nil)
+			})
+		}
+	}
+}
