--- a/imitator/node.go
+++ b/imitator/node.go
@@ -122,10 +122,10 @@
 	case trouble == Outage:
 		return storer.ErrUnavailable
 	case trouble == Partition:
-		wait(ctx, delay)
+		pause(ctx, delay)
 		return lost
 	case trouble == Slow:
-		if !wait(ctx, delay) {
+		if !pause(ctx, delay) {
 			return storer.ErrUnavailable
 		}
 	case trouble == LateWrite && write:
@@ -142,8 +142,8 @@
 	return err
 }
 
-// wait reports whether d passed before ctx ended.
-func wait(ctx context.Context, d time.Duration) bool {
+// pause reports whether d passed before ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
