--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -14,6 +14,7 @@
 
 	"apricotspool/classifier"
 	"apricotspool/leaser"
+	"apricotspool/messenger"
 	"apricotspool/namer"
 	"apricotspool/storer"
 )
@@ -151,7 +152,7 @@
 func (c *Claimer) create(ctx context.Context, h *holding) (*claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	value, err := encoding.Marshal(h.claim)
+	value, err := messenger.Marshal(h.claim)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode claim")
 	}
@@ -186,7 +187,7 @@
 	if err != nil {
 		return found, 0, err
 	}
-	err = decoding.Unmarshal(object.Value, &found)
+	err = messenger.Unmarshal(object.Value, &found)
 	return found, object.Version, errors.Wrapf(err, "claim %q is not valid", key)
 }
 
@@ -266,8 +267,8 @@
 		return c.Store.Delete(ctx, h.key, h.version)
 	}
 	next := h.claim
-	next.State, next.Answer = s, answer.stored()
-	value, err := encoding.Marshal(next)
+	next.State, next.Answer = s, answer
+	value, err := messenger.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "encode claim")
 	}
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -18,6 +18,7 @@
 	"apricotspool/classifier"
 	"apricotspool/imitator"
 	"apricotspool/leaser"
+	"apricotspool/messenger"
 	"apricotspool/namer"
 	"apricotspool/storer"
 )
@@ -167,7 +168,7 @@
 	permit := holder.Claim(t.Context(), call("k", "order")).Permit
 	answer := claimer.Answer{Status: 201, Header: map[string]string{"Location": "/1"}, Body: []byte{0, 255}}
 	asked := make(chan claimer.Result)
-	other := &claimer.Claimer{Store: store, Process: namer.Process{Host: "i"}, Asker: claimer.PeerAsker{HTTP: far.Client(), Scheme: "http"}}
+	other := &claimer.Claimer{Store: store, Process: namer.Process{Host: "i"}, Asker: claimer.PeerAsker{Client: &messenger.Client{HTTP: far.Client(), Scheme: "http"}}}
 	go func() { asked <- other.Claim(t.Context(), call("k", "order")) }()
 	permit.Finish(t.Context(), answer)
 	result := <-asked
--- a/claimer/cleaner.go
+++ b/claimer/cleaner.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"apricotspool/leaser"
+	"apricotspool/messenger"
 	"apricotspool/storer"
 )
 
@@ -95,7 +96,7 @@
 
 func (c *Cleaner) old(object storer.Object) bool {
 	var found claim
-	if err := decoding.Unmarshal(object.Value, &found); err != nil {
+	if err := messenger.Unmarshal(object.Value, &found); err != nil {
 		c.Log.Warn().Err(err).Str("claim", object.Key).Msg("claim-not-valid")
 		return false
 	}
--- a/claimer/peer.go
+++ b/claimer/peer.go
@@ -5,14 +5,14 @@
 	"net/http"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"apricotspool/messenger"
 	"apricotspool/namer"
 )
 
 // Procedure is the path of the call on the peer listener.
-const Procedure = "/apricotspool/claim-state"
+const Procedure = "/peer/claim-state"
 
 // tellLimit bounds one wait at the holder; the asker repeats its question until its own deadline.
 const tellLimit = 10 * time.Second
@@ -51,31 +51,24 @@
 
 // Handler serves questions on the peer listener.
 func (c *Claimer) Handler() (path string, handler http.Handler) {
-	return Procedure, connect.NewUnaryHandler(Procedure,
-		func(ctx context.Context, r *connect.Request[Question]) (*connect.Response[Reply], error) {
-			reply := c.Tell(ctx, *r.Msg)
-			return connect.NewResponse(&reply), nil
-		}, connect.WithCodec(codec{}))
+	return messenger.Handler(Procedure, func(ctx context.Context, q *Question) (*Reply, error) {
+		reply := c.Tell(ctx, *q)
+		return &reply, nil
+	})
 }
 
 // PeerAsker asks holders over their peer listeners.
 type PeerAsker struct {
-	HTTP   *http.Client // with the daemon's certificate
-	Scheme string       // empty means "https"
+	Client *messenger.Client
 }
 
 var _ Asker = PeerAsker{}
 
 // Ask sends one question to the peer address of the holder.
 func (p PeerAsker) Ask(ctx context.Context, q Question) (Reply, error) {
-	scheme := p.Scheme
-	if scheme == "" {
-		scheme = "https"
-	}
-	client := connect.NewClient[Question, Reply](p.HTTP, scheme+"://"+q.Holder.Address.String()+Procedure, connect.WithCodec(codec{}))
-	response, err := client.CallUnary(ctx, connect.NewRequest(&q))
+	reply, err := messenger.Call[Question, Reply](ctx, p.Client, q.Holder.Address, Procedure, &q)
 	if err != nil {
 		return Reply{}, errors.Wrapf(err, "ask %s about a claim", q.Holder)
 	}
-	return *response.Msg, nil
+	return *reply, nil
 }
--- a/claimer/permit.go
+++ b/claimer/permit.go
@@ -38,7 +38,7 @@
 	if h.state != stateStarted {
 		return false
 	}
-	h.state, h.answer = s, a
+	h.state, h.answer = s, a.stored() // what others get is the same before and after it is stored
 	close(h.ended)
 	return true
 }
