director: Keep the binding until the engine restarts after the last send

Cause: a binding moved when the engine's incarnation differed from the one at the time of the intent. If the engine restarts between the intent and the send, the command waits in a buffer of the new engine process and arrives after the next holder's commands.

Change: the record keeps a barrier, which is the engine's incarnation when the bound process surely sent nothing any more. An unconfirmed command is dropped only once the engine has a later incarnation. Each send clears the barrier first.

Conclusion: a binding with an unconfirmed command needs one more restart of the engine or an operator in this rare case.

--- a/director/binding.go
+++ b/director/binding.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotspool/generator"
 	"apricotspool/namer"
 )
 
@@ -83,7 +84,7 @@
 }
 
 // releaseOne clears a binding to this process when none of its commands is outstanding. Every call
-// of Command has returned, so a command counts as settled when the engine shows it or has restarted.
+// of Command has returned, so a command counts as settled when the engine shows it or passes the barrier.
 func (d *Director) releaseOne(ctx context.Context, e Endpoint) error {
 	l := ledger{store: d.Store, key: recordKey(e.Name)}
 	if err := l.load(ctx); err != nil {
@@ -98,22 +99,36 @@
 		if err != nil {
 			return errors.Wrapf(err, "state of endpoint %q", e.Name)
 		}
-		switch {
-		case next.confirmedBy(state):
-			if next.Phase == phaseChange {
-				next.Phase = phaseResume
+		if next.confirmedBy(state) {
+			next.settle()
+		} else {
+			if err := l.passBarrier(ctx, state); err != nil {
+				return err
 			}
-			next.Command = nil
-		case state.Incarnation != next.Incarnation:
 			next.void()
-		default:
-			return errors.Errorf("command %q is outstanding", next.Command.ID)
 		}
 	}
 	next.Bound = namer.Process{}
 	return l.save(ctx, next)
 }
 
+// passBarrier returns nil when the unconfirmed command can't reach the engine any more. The caller
+// knows that the bound process sends nothing. The first call sets the barrier.
+func (l *ledger) passBarrier(ctx context.Context, state generator.EngineState) error {
+	barrier, id := l.record.Barrier, l.record.Command.ID
+	if barrier != 0 && state.Incarnation > barrier {
+		return nil
+	}
+	if barrier == 0 {
+		next := l.record
+		next.Barrier = state.Incarnation
+		if err := l.save(ctx, next); err != nil {
+			return err
+		}
+	}
+	return errors.Wrapf(errHeld, "command %q may still arrive in incarnation %d", id, state.Incarnation)
+}
+
 // ReleaseBinding is the operator's way out when a bound process is gone and nothing can prove it.
 // The operator states which process is bound and thereby that it has been stopped; if it is alive,
 // a command that it sends late may conflict with others.
--- a/director/fake_test.go
+++ b/director/fake_test.go
@@ -309,7 +309,7 @@
 		e.receive(c, incarnation)
 		return generator.ErrUncertain
 	case "late command":
-		time.AfterFunc(7*time.Second, func() { e.receive(c, incarnation) })
+		time.AfterFunc(15*time.Second, func() { e.receive(c, incarnation) })
 		return generator.ErrUncertain
 	}
 	return e.receive(c, incarnation)
--- a/director/fault_test.go
+++ b/director/fault_test.go
@@ -210,6 +210,7 @@
 		"proof and engine restart": {func(ctx context.Context, w *world, p *process) {
 			p.kill()
 			w.start(ctx, 0).cancel()
+			time.Sleep(15 * time.Second) // the next holder sets the barrier
 			w.engines[0].crash()
 		}, true},
 		"operator": {func(ctx context.Context, w *world, p *process) {
@@ -258,3 +259,30 @@
 	_, ok = b.Take(now.Add(wait))
 	is.True(!ok)
 }
+
+// Guards against a binding that moves because the engine restarted, when the restart came before the
+// command was sent: the command then waits in a buffer of the new engine process.
+func TestRestartBeforeLateSend(t *testing.T) {
+	for name, dies := range map[string]bool{"bound process wakes": false, "bound process dies": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(false)
+			run(t, w, func(ctx context.Context, is *is.I, p *process) {
+				next := w.start(ctx, 1)
+				defer next.cancel()
+				w.fail("late command")
+				p.PauseAt("send", 12*time.Second)
+				go p.apply(role("e0"))
+				time.Sleep(5 * time.Second)
+				w.engines[0].crash()
+				time.Sleep(7*time.Second + time.Millisecond)
+				if dies {
+					p.kill()
+					w.start(ctx, 0)
+				}
+				w.fail("")
+				time.Sleep(time.Minute)
+				is.Equal(w.found(), nil)
+			})
+		})
+	}
+}
--- a/director/record.go
+++ b/director/record.go
@@ -38,16 +38,18 @@
 	KeepDrained bool `json:"keep-drained,omitempty"`
 	// Command is the intent: the one command that may be unconfirmed. It is only sent unchanged.
 	Command *generator.Command `json:"command,omitempty"`
-	// Incarnation is the engine's when Command was written.
-	Incarnation namer.Incarnation `json:"incarnation,omitempty"`
+	// Barrier is the engine's incarnation at a time when Command was unconfirmed and the bound process
+	// surely sent nothing any more. Once the engine has a later one, Command can't reach it. The
+	// incarnation at the time of the intent would not do: the engine may restart before the send.
+	Barrier namer.Incarnation `json:"barrier,omitempty"`
 }
 
 // intend makes a command the intent. Ids are distinct because one process wins each version of the record.
-func (r *record) intend(c generator.Command, fencing namer.Fencing, engine namer.Incarnation) {
+func (r *record) intend(c generator.Command, fencing namer.Fencing) {
 	r.Sequence++
 	c.ID = fmt.Sprintf("%d-%d", fencing, r.Sequence)
 	c.Fencing = fencing
-	r.Command, r.Incarnation = &c, engine
+	r.Command, r.Barrier = &c, 0
 }
 
 // confirmedBy reports whether the engine has carried out the intent.
@@ -55,9 +57,17 @@
 	return r.Command != nil && state.LastCommand == r.Command.ID && !state.Changing
 }
 
+// settle clears an intent that the engine has carried out.
+func (r *record) settle() {
+	r.Command, r.Barrier = nil, 0
+	if r.Phase == phaseChange {
+		r.Phase = phaseResume
+	}
+}
+
 // void drops an intent that can't reach the engine any more.
 func (r *record) void() {
-	r.Command = nil
+	r.Command, r.Barrier = nil, 0
 	if r.Phase == phaseChange {
 		r.Phase = phaseDrain
 	}
--- a/director/worker.go
+++ b/director/worker.go
@@ -114,18 +114,15 @@
 		}
 		// A dead process sends nothing new, but its last command may wait in a buffer of this engine process.
 		if next.Command != nil && !confirmed {
-			if state.Incarnation == next.Incarnation {
-				return next, errors.Wrapf(errHeld, "endpoint %q, command %q may still arrive", w.endpoint.Name, next.Command.ID)
+			if err := w.ledger.passBarrier(ctx, state); err != nil {
+				return next, err
 			}
 			next.void()
 		}
 		next.Bound = namer.Process{}
 	}
 	if confirmed {
-		if next.Phase == phaseChange {
-			next.Phase = phaseResume
-		}
-		next.Command = nil
+		next.settle()
 	}
 	if !w.endpoint.Fencing {
 		next.Bound = w.authority.Holder()
@@ -161,18 +158,18 @@
 	// Only the number changes: an engine that checks it would refuse the predecessor's.
 	command := *next.Command
 	command.Fencing = next.Fencing
-	next.Command = &command
+	next.Command, next.Barrier = &command, 0
 	if !sameRecord(next, w.ledger.record) {
 		if err := w.ledger.save(ctx, next); err != nil {
 			return err
 		}
 	}
-	return w.send(ctx, state)
+	return w.send(ctx)
 }
 
 // sameRecord reports whether nothing that another process must know of differs.
 func sameRecord(a, b record) bool {
-	return a.Writer == b.Writer && a.Fencing == b.Fencing && a.Bound == b.Bound && a.Sequence == b.Sequence &&
+	return a.Writer == b.Writer && a.Fencing == b.Fencing && a.Bound == b.Bound && a.Sequence == b.Sequence && a.Barrier == b.Barrier &&
 		a.Command != nil && b.Command != nil && *a.Command == *b.Command
 }
 
@@ -195,17 +192,17 @@
 	switch next.Phase {
 	case phaseDrain:
 		if change.disrupts(state) && !state.Draining {
-			return "", w.command(ctx, next, generator.Command{Kind: generator.CommandDrain}, state)
+			return "", w.command(ctx, next, generator.Command{Kind: generator.CommandDrain})
 		}
 		if change.disrupts(state) && !w.quiet(state) {
 			return "", nil
 		}
 		next.Phase = phaseChange
 		next.Tries++
-		return "", w.command(ctx, next, change.command(), state)
+		return "", w.command(ctx, next, change.command())
 	case phaseResume, phaseUndo:
 		if state.Draining && !next.KeepDrained && (change.Kind != generator.CommandDrain || next.Phase == phaseUndo) {
-			return "", w.command(ctx, next, generator.Command{Kind: generator.CommandResume}, state)
+			return "", w.command(ctx, next, generator.Command{Kind: generator.CommandResume})
 		}
 	}
 	w.ending = Done
@@ -220,17 +217,17 @@
 }
 
 // command writes the intent and then sends it.
-func (w *worker) command(ctx context.Context, next record, c generator.Command, state generator.EngineState) error {
-	next.intend(c, w.authority.Fencing(), state.Incarnation)
+func (w *worker) command(ctx context.Context, next record, c generator.Command) error {
+	next.intend(c, w.authority.Fencing())
 	if err := w.ledger.save(ctx, next); err != nil {
 		return err
 	}
-	return w.send(ctx, state)
+	return w.send(ctx)
 }
 
 // send is the only place where a command leaves the process. The stored record names the command,
 // and the deadline of the call ends before the lease does.
-func (w *worker) send(ctx context.Context, state generator.EngineState) error {
+func (w *worker) send(ctx context.Context) error {
 	r := w.ledger.record
 	asserter.Check(w.ledger.loaded && r.Command != nil && r.Writer == w.authority.Holder() && (w.endpoint.Fencing || r.Bound == r.Writer),
 		"a command is sent only by the process that its stored record names", "endpoint %q, record %+v", w.endpoint.Name, r)
@@ -243,12 +240,12 @@
 	if errors.Is(err, generator.ErrRejected) {
 		return w.reject(ctx, r, err)
 	}
-	return errors.Wrapf(err, "command %q to endpoint %q in incarnation %d", r.Command.ID, w.endpoint.Name, state.Incarnation)
+	return errors.Wrapf(err, "command %q to endpoint %q", r.Command.ID, w.endpoint.Name)
 }
 
 // reject gives up a change whose command the engine will never accept.
 func (w *worker) reject(ctx context.Context, next record, cause error) error {
 	w.director.Log.Warn().Err(cause).Str("endpoint", string(w.endpoint.Name)).Str("command", next.Command.ID).Msg("command-rejected")
-	next.Command, next.Phase = nil, phaseUndo
+	next.Command, next.Barrier, next.Phase = nil, 0, phaseUndo
 	return w.ledger.save(ctx, next)
 }
