--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -95,7 +95,10 @@
 	t.start(now)
 	message := &Exchange{From: t.Self, Config: t.config(), Notices: t.hash, Stale: t.stale(now)}
 	if to.DataCentre == t.Self.DataCentre || to.DataCentre == "" {
-		message.Self = t.delta(now, t.self, 0)
+		if len(t.marks) == markCount {
+			message.Since = t.marks[0]
+		}
+		message.Self = t.delta(now, t.self, message.Since)
 		message.Digest = make([]uint64, 0, 2*len(t.members))
 		for id, m := range t.members {
 			message.Digest = append(message.Digest, id, m.beat)
@@ -116,10 +119,17 @@
 		reply.Notices = t.allNotices()
 	}
 	if in.From.DataCentre == t.Self.DataCentre {
-		t.merge(now, in.Self)
+		if m, known := t.members[in.Self.ID]; in.Since == 0 || (known && m.beat >= in.Since) {
+			t.merge(now, in.Self)
+		} else {
+			reply.Lacks = !known // a member that only lags gets the rest in its own exchanges
+		}
 		reply.Deltas = t.deltasFor(now, in)
 	} else {
 		if in.Summary != nil {
+			if r, ok := t.remote[in.Summary.DataCentre]; ok && in.Summary.Hosts <= 1 {
+				reply.Summaries = append(reply.Summaries, r.summary) // its contacts, for a sender that is alone
+			}
 			t.mergeSummary(now, *in.Summary)
 		}
 		reply.Summaries = append(reply.Summaries, t.summarise(now))
@@ -155,6 +165,9 @@
 	if t.hash != reply.Hash {
 		missing = t.allNotices()
 	}
+	if reply.Lacks {
+		t.marks = nil // the next exchanges carry the complete record
+	}
 	t.answered(to)
 	return fresh, missing
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -112,10 +112,11 @@
 	g.init()
 	defer close(g.done)
 	var parts sync.WaitGroup
-	parts.Go(func() { g.every(ctx, Period, g.beat) })
-	parts.Go(func() { g.every(ctx, PollPeriod, g.poll) })
+	always := func(period time.Duration) func() time.Duration { return func() time.Duration { return period } }
+	parts.Go(func() { g.every(ctx, always(Period), g.beat) })
+	parts.Go(func() { g.every(ctx, g.pollPeriod, g.poll) })
 	if g.Hosts != nil {
-		parts.Go(func() { g.every(ctx, hostListPeriod, g.readHosts) })
+		parts.Go(func() { g.every(ctx, always(hostListPeriod), g.readHosts) })
 	}
 	parts.Wait()
 	g.calls.Stop()
@@ -124,9 +125,9 @@
 
 // every calls f once a period, starting at a random phase so that daemons that start together don't
 // act together.
-func (g *Gossiper) every(ctx context.Context, period time.Duration, f func(context.Context)) {
+func (g *Gossiper) every(ctx context.Context, period func() time.Duration, f func(context.Context)) {
 	g.mu.Lock()
-	phase := time.Duration(g.random.Int64N(int64(period)))
+	phase := time.Duration(g.random.Int64N(int64(Period)))
 	g.mu.Unlock()
 	timer := time.NewTimer(phase)
 	defer timer.Stop()
@@ -136,7 +137,7 @@
 			return
 		case <-timer.C:
 		}
-		timer.Reset(period)
+		timer.Reset(period())
 		f(ctx)
 	}
 }
--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -17,11 +17,12 @@
 	From    Peer
 	Config  namer.ConfigVersion // version in force at the sender
 	Notices uint64              // hash over the sender's notices
-	Self    Delta               // the sender's own record, complete; zero towards other data centres
+	Self    Delta               // the sender's own record since Since; zero towards other data centres
 	// Digest lists pairs of member id and beat. It is empty towards other data centres.
 	Digest  []uint64
 	Summary *Summary // of the sender's data centre; nil inside a data centre
 	Stale   []Known  // data centres of which the sender wants a newer summary
+	Since   uint64   // beat from which Self tells all changes; 0 when it is complete
 }
 
 // Reply answers an Exchange.
@@ -32,6 +33,7 @@
 	Deltas    []Delta   // records that the sender lacks
 	Summaries []Summary // newer than the sender's
 	Notices   []Notice  // all of them, when the hashes differ
+	Lacks     bool      // the receiver does not know the sender; it needs the complete record
 }
 
 // Delta is what is new in one member's record since a beat that the receiver has.
--- a/gossiper/poll.go
+++ b/gossiper/poll.go
@@ -9,9 +9,18 @@
 	"apricotspool/lister"
 )
 
-// PollPeriod is the time between two load reports of one endpoint. At 1 s the reports of a data
-// centre with 123 endpoints alone take most of the budget of 5 KB/s for each daemon.
-const PollPeriod = 2 * time.Second
+// Limits of the time between two load reports of one endpoint.
+const (
+	minPollPeriod = time.Second
+	maxPollPeriod = 4 * time.Second
+)
+
+// PollPeriod returns the time between two load reports of one endpoint in a data centre with a number
+// of endpoints. Each daemon gets every report of its data centre, so the period grows with their
+// number to keep its traffic within the budget of 5 KB/s; it is 2 s at 123 endpoints.
+func PollPeriod(endpoints int) time.Duration {
+	return min(max(time.Duration(endpoints)*16*time.Millisecond, minPollPeriod), maxPollPeriod)
+}
 
 // hostListPeriod is the time between two readings of the host list by the daemons that read it.
 const hostListPeriod = 2 * time.Second
@@ -26,11 +35,17 @@
 // pollers bounds the polls that one daemon has open.
 const pollers = 16
 
+func (g *Gossiper) pollPeriod() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return PollPeriod(len(g.table.places.own))
+}
+
 // poll asks every endpoint of this daemon's duty for its load.
 func (g *Gossiper) poll(ctx context.Context) {
 	var duties []Duty
 	g.update(func(now time.Time, t *Table) { duties = t.Duties(now) })
-	ctx, cancel := context.WithTimeout(ctx, PollPeriod)
+	ctx, cancel := context.WithTimeout(ctx, maxPollPeriod)
 	defer cancel()
 	slots := make(chan struct{}, pollers)
 	var polls sync.WaitGroup
--- a/gossiper/summary.go
+++ b/gossiper/summary.go
@@ -57,6 +57,9 @@
 
 func (t *Table) mergeSummary(now time.Time, s Summary) {
 	if s.DataCentre == t.Self.DataCentre {
+		for _, p := range s.Contacts {
+			t.seed(p.Address)
+		}
 		return
 	}
 	at := now.Add(-s.Age.std())
--- a/gossiper/table.go
+++ b/gossiper/table.go
@@ -39,6 +39,9 @@
 	// silence says nothing about others.
 	pausedAfter = 3 * time.Second
 	loadExpiry  = time.Minute
+	// markCount is the number of periods over which a daemon pushes the changes of its own record.
+	// It spans at least two polls, so that each load report is pushed several times.
+	markCount = 10
 )
 
 // Peer is a daemon as others reach it.
@@ -68,6 +71,7 @@
 	places    places
 	last      time.Time // last beat
 	round     int
+	marks     []uint64 // own beats at the last periods, the oldest first
 }
 
 type member struct {
@@ -158,6 +162,9 @@
 	}
 	t.self.beat++
 	t.self.advanced = now
+	if t.marks = append(t.marks, t.self.beat); len(t.marks) > markCount {
+		t.marks = t.marks[1:]
+	}
 	for id, m := range t.members {
 		if m == t.self {
 			continue
--- a/gossiper/table_test.go
+++ b/gossiper/table_test.go
@@ -131,6 +131,16 @@
 	is.Equal(f.tables[0].View(f.now).Members[4].Incarnation, current)
 }
 
+// Guards against daemons that never meet because all their seeds are in other data centres.
+func TestSeedsInOtherDataCentres(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 24, 6, 0) // the seeds are in the first four data centres
+	f.run(20 * time.Second)
+	for i := range f.tables {
+		is.Equal(f.live(i), 4)
+	}
+}
+
 // Guards against halves that have dropped each other and never meet again, and against a data
 // centre whose return is noticed late.
 func TestPartitionHeals(t *testing.T) {
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -96,10 +96,18 @@
 	return v.leaving[name] || v.Loads[name].Leaving || s.Document().Endpoints[name].State == configurer.StateDraining
 }
 
-// Spread returns peers for an epidemic push: random members of the own data centre, and one contact
-// in each of some other data centres; remote below 0 means all of them.
+// Spread returns peers for an epidemic push: members of the own data centre, and one contact in each
+// of some other data centres; remote below 0 means all of them. The members are random but for the
+// one that follows in the order of hosts: with four random ones alone about 2% of members are missed.
 func (v *View) Spread(random *rand.Rand, local, remote int) []Peer {
-	peers := sample(random, v.push, local)
+	next, _ := slices.BinarySearchFunc(v.push, v.Self, comparePeers)
+	peers := make([]Peer, 0, local)
+	if n := len(v.push); n > 0 && local > 0 {
+		next %= n
+		peers = append(peers, v.push[next])
+		others := append(slices.Clone(v.push[:next]), v.push[next+1:]...)
+		peers = append(peers, sample(random, others, local-1)...)
+	}
 	others := v.Remote
 	if remote >= 0 {
 		others = sample(random, v.Remote, remote)
