--- a/standin/engine.go
+++ b/standin/engine.go
@@ -9,7 +9,7 @@
 	"apricotspool/namer"
 )
 
-func addEngine(app *kingpin.Application, handlers map[string]func() http.Handler) {
+func addEngine(app *kingpin.Application, handlers handlers) {
 	command := app.Command("engine", "Model engine.")
 	engine := &imitator.Engine{}
 	models := command.Flag("model", "Model that the engine has loaded; repeat for more. None serves every model.").Strings()
@@ -25,11 +25,11 @@
 	command.Flag("load-lag", "Age of the figures in a load report.").DurationVar(&engine.LoadLag)
 	command.Flag("cache-lag", "Delay of cache events.").DurationVar(&engine.CacheLag)
 	command.Flag("cache-gap", "Each cache event with a multiple of this number is lost; 0 loses none.").IntVar(&engine.CacheGap)
-	handlers[command.FullCommand()] = func() http.Handler {
+	handlers[command.FullCommand()] = func() (http.Handler, error) {
 		engine.Role = namer.Role(*role)
 		for _, m := range *models {
 			engine.Models = append(engine.Models, namer.Model(m))
 		}
-		return &imitator.EngineHandler{Engine: engine}
+		return &imitator.EngineHandler{Engine: engine}, nil
 	}
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -3,6 +3,7 @@
 //	standin store --address 127.0.0.1:9001
 //	standin engine --address 127.0.0.1:9002 --interval 10ms
 //	standin service --address 127.0.0.1:9003
+//	standin hosts --address 127.0.0.1:9004 --file hosts.json
 //
 // It prints one line of key=value pairs when it serves and stops on SIGINT or SIGTERM.
 package main
@@ -29,20 +30,28 @@
 
 func run(arguments []string) error {
 	app := kingpin.New("standin", "Serves one fake of the platform.")
-	handlers := map[string]func() http.Handler{}
+	handlers := handlers{}
 	address := app.Flag("address", "IP address and TCP port to listen on; port 0 takes a free one.").Default("127.0.0.1:0").String()
 	addStore(app, handlers)
 	addEngine(app, handlers)
 	addService(app, handlers)
+	addHosts(app, handlers)
 	kind, err := app.Parse(arguments)
 	if err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return serve(ctx, kind, *address, handlers[kind]())
+	handler, err := handlers[kind]()
+	if err != nil {
+		return err
+	}
+	return serve(ctx, kind, *address, handler)
 }
 
+// handlers builds the handler of each subcommand after its flags were read.
+type handlers map[string]func() (http.Handler, error)
+
 func serve(ctx context.Context, kind, address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
--- a/standin/store.go
+++ b/standin/store.go
@@ -8,10 +8,10 @@
 	"apricotspool/imitator"
 )
 
-func addStore(app *kingpin.Application, handlers map[string]func() http.Handler) {
+func addStore(app *kingpin.Application, handlers handlers) {
 	command := app.Command("store", "Object API in memory.")
 	token := command.Flag("token", "Bearer token that calls must carry; empty accepts every call.").String()
-	handlers[command.FullCommand()] = func() http.Handler {
-		return &imitator.StoreHandler{Store: &imitator.Store{}, Token: *token}
+	handlers[command.FullCommand()] = func() (http.Handler, error) {
+		return &imitator.StoreHandler{Store: &imitator.Store{}, Token: *token}, nil
 	}
 }
