--- a/imitator/engine.go
+++ b/imitator/engine.go
@@ -46,6 +46,7 @@
 	broken      chan struct{}          // closed and replaced when all connections break
 	cache       cacheLog
 	started     int
+	imported    []string
 }
 
 var _ generator.Engine = (*Engine)(nil)
@@ -118,6 +119,9 @@
 	}
 	e.streams[s.id] = s
 	e.started++
+	if call.ImportFrom.IsValid() {
+		e.imported = append(e.imported, call.ImportFrom.String())
+	}
 	e.cache.add(time.Now(), e.CacheGap, answer.seed)
 	e.enqueue(s)
 	return e.read(ctx, s, call.From), nil
@@ -267,6 +271,13 @@
 	return ids
 }
 
+// Imported returns the addresses from which streams were told to import their KV cache, in order.
+func (e *Engine) Imported() []string {
+	e.lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.imported)
+}
+
 // Started returns how many streams the engine has begun, resumptions not counted.
 func (e *Engine) Started() int {
 	e.lock()
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -49,9 +49,12 @@
 	return x
 }
 
+// refusalTime is left after the deadline to tell the caller that it has passed.
+const refusalTime = 5 * time.Second
+
 // until bounds the request, and with it the patience with a caller that does not read its answer.
 func (x *exchange) until(deadline time.Time) (context.Context, context.CancelFunc) {
-	http.NewResponseController(x.w).SetWriteDeadline(deadline)
+	http.NewResponseController(x.w).SetWriteDeadline(deadline.Add(refusalTime))
 	return context.WithDeadline(x.r.Context(), deadline)
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -110,7 +110,6 @@
 // Guards against an engine failure, or chunks of other streams, that lose, double or change a part of
 // the answer (P4).
 func TestEngineFailuresDoNotShow(t *testing.T) {
-	other := strings.Repeat("0", 32)
 	type distortion = func(generator.Chunk) []generator.Chunk
 	once := func(distort distortion) distortion {
 		var left atomic.Int32
@@ -123,7 +122,7 @@
 		}
 	}
 	crossed := func(c generator.Chunk) generator.Chunk {
-		c.Data = []byte(`{"id":"` + other + `"` + string(c.Data[8+len(other):]))
+		c.Data = crossed
 		return c
 	}
 	for name, c := range map[string]struct {
