--- a/classifier/outcome.go
+++ b/classifier/outcome.go
@@ -3,7 +3,10 @@
 // request ran, and a counter. The package owns no state.
 package classifier
 
-import "net/http"
+import (
+	"fmt"
+	"net/http"
+)
 
 // Outcome names how a request ended.
 type Outcome string
@@ -92,3 +95,13 @@
 	}
 	return all
 }
+
+// Row describes an outcome as a row of the table on the callers' page.
+func Row(o Outcome) string {
+	class := o.Class()
+	retry := "no"
+	if class.Retry {
+		retry = "yes"
+	}
+	return fmt.Sprintf("| `%s` | %d | %s | %s | %s |", o, class.Status, class.Execution, retry, class.Help)
+}
