--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -117,6 +117,7 @@
 const (
 	SourceState    Source = iota // the endpoint or host itself
 	SourceHostList               // the platform's host list
+	SourceChange                 // a planned change of the endpoint that is in progress
 )
 
 // Kind says what a notice is about.
--- a/gossiper/notice.go
+++ b/gossiper/notice.go
@@ -37,7 +37,7 @@
 }
 
 func (n Notice) valid() bool {
-	return n.Subject.Kind <= KindHost && n.Subject.Source <= SourceHostList && n.Subject.Name != "" && len(n.Subject.Name) <= namer.MaxNameLength
+	return n.Subject.Kind <= KindHost && n.Subject.Source <= SourceChange && n.Subject.Name != "" && len(n.Subject.Name) <= namer.MaxNameLength
 }
 
 // newer reports whether n replaces other. Of two notices with one stamp the one that says "leaving"
@@ -80,7 +80,8 @@
 
 func (t *Table) expired(now time.Time, n Notice) bool {
 	_, listed := t.places.all[namer.Endpoint(n.Subject.Name)]
-	if n.Leaving && n.Subject.Kind == KindEndpoint && listed {
+	// A planned change ends within noticeExpiry; the mark of a process that ended meanwhile must not stay.
+	if n.Leaving && n.Subject.Kind == KindEndpoint && listed && n.Subject.Source != SourceChange {
 		return false
 	}
 	return now.Sub(time.UnixMicro(int64(n.Stamp))) > noticeExpiry
@@ -109,10 +110,10 @@
 
 // endpointLeaves reports whether a notice says that an endpoint leaves.
 func (t *Table) endpointLeaves(name namer.Endpoint) bool {
-	subject := Subject{Kind: KindEndpoint, Name: string(name), Source: SourceState}
-	if t.notices[subject].Leaving {
-		return true
+	for _, source := range []Source{SourceState, SourceHostList, SourceChange} {
+		if t.notices[Subject{Kind: KindEndpoint, Name: string(name), Source: source}].Leaving {
+			return true
+		}
 	}
-	subject.Source = SourceHostList
-	return t.notices[subject].Leaving
+	return false
 }
