--- a/assembler/parts.go
+++ b/assembler/parts.go
@@ -14,6 +14,7 @@
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
 	"apricotspool/distributor"
+	"apricotspool/forwarder"
 	"apricotspool/generator"
 	"apricotspool/gossiper"
 	"apricotspool/lister"
@@ -21,6 +22,7 @@
 	"apricotspool/messenger"
 	"apricotspool/namer"
 	"apricotspool/recorder"
+	"apricotspool/resumer"
 	"apricotspool/server"
 	"apricotspool/storer"
 	"apricotspool/supervisor"
@@ -68,7 +70,11 @@
 	}
 	p.store = &storer.Client{Address: d.Settings.Platform.ObjectAPI, Token: platformToken, Calls: countCalls(metrics)}
 	d.connectPeers(p, &messenger.Client{HTTP: client, Scheme: l.peerScheme()}, platformToken)
-	d.connectTraffic(p)
+	keys, err := loader.ReadSecrets(d.Settings.SigningKeyFiles)
+	if err != nil {
+		return nil, errors.Wrap(err, "signing keys")
+	}
+	d.connectTraffic(p, keys)
 	admin := &administrator.Administrator{Token: operatorsToken, Configuration: p.distributor, Daemon: &status{daemon: d, parts: p}}
 	p.operators = admin.Handler()
 	p.callers = p.server.Handler()
@@ -128,11 +134,16 @@
 }
 
 // connectTraffic builds the decision core's owner and the callers' API.
-func (d *Daemon) connectTraffic(p *parts) {
-	p.dispatcher = &dispatcher.Dispatcher{Core: &decider.Core{Seed: p.seed()}}
+func (d *Daemon) connectTraffic(p *parts, keys [][]byte) {
+	p.dispatcher = &dispatcher.Dispatcher{Core: &decider.Core{Seed: p.seed()}, Retries: p.metrics}
 	p.server = &server.Server{
 		Log: d.Log, Metrics: p.metrics, Snapshot: p.distributor.Snapshot,
-		Dispatcher: p.dispatcher, Engine: p.engine, Requests: d.Settings.Limits.Requests,
+		Dispatcher: p.dispatcher, Engine: p.engine, Service: &forwarder.Client{}, Signer: &resumer.Signer{Keys: keys},
+		Finder: &resumer.Resumer{Engine: p.engine, Endpoints: func(service namer.Service) []generator.Target {
+			return server.Targets(p.distributor.Snapshot(), service)
+		}},
+		Leaver:   &resumer.Canceller{Engine: p.engine, Log: d.Log},
+		Requests: d.Settings.Limits.Requests, BodyTimeout: d.Settings.Limits.BodyTimeout.Std(),
 	}
 	fleet := &fleetKeeper{dataCentre: d.Settings.DataCentre, distributor: p.distributor, gossiper: p.gossiper, dispatcher: p.dispatcher}
 	p.children = append(p.children,
