Connect leases, director, planner and claims in the daemon

Cause: claims, commands and role plans existed as components, but no daemon ran them. Change: assembler builds them; coordinator brings role changes from the one planner of the fleet to the directors of the data centres as advice in the object API; keyed calls run under a claim and go on when their caller is gone; only three live daemons of a data centre compete for a lease, others don't read it. Before: keyed calls were refused, no daemon held a lease. Conclusion: the failure tests with real processes can be built on this.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -35,6 +35,9 @@
 // patchTimeout bounds one patch; the platform answers in milliseconds when it is healthy.
 const patchTimeout = 15 * time.Second
 
+// maxReleaseBytes bounds the description of a process.
+const maxReleaseBytes = 4 << 10
+
 // Limits of the history listing.
 const (
 	DefaultHistory = 20
@@ -54,8 +57,9 @@
 	Ready() bool
 	// Drain starts a graceful shutdown and returns at once.
 	Drain()
-	// Release drops the binding of an endpoint that ignores fencing numbers.
-	Release(ctx context.Context, endpoint namer.Endpoint) error
+	// Release drops the binding of an endpoint that ignores fencing numbers to a process that the
+	// operator has stopped.
+	Release(ctx context.Context, endpoint namer.Endpoint, stopped namer.Process) error
 	WriteMetrics(w io.Writer)
 }
 
@@ -192,7 +196,12 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	if err := a.Daemon.Release(r.Context(), endpoint); err != nil {
+	var stopped namer.Process
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReleaseBytes)).Decode(&stopped); err != nil {
+		refuse(w, http.StatusBadRequest, "the body names the process that was stopped: "+err.Error())
+		return
+	}
+	if err := a.Daemon.Release(r.Context(), endpoint, stopped); err != nil {
 		refuse(w, http.StatusConflict, err.Error())
 		return
 	}
--- a/assembler/fleet.go
+++ b/assembler/fleet.go
@@ -81,6 +81,7 @@
 
 // changed reports whether the core needs a new fleet, and remembers what this one is built from.
 func (k *fleetKeeper) changed(snapshot *configurer.Snapshot, view *gossiper.View) bool {
+	hosts := hostsOf(snapshot, view, k.dataCentre)
 	leaving := map[namer.Endpoint]bool{}
 	roles := map[namer.Endpoint]namer.Role{}
 	for name := range snapshot.Document().Endpoints {
@@ -91,18 +92,21 @@
 			roles[name] = role
 		}
 	}
-	same := k.version == snapshot.Version() && k.hosts == len(view.Live()) && maps.Equal(k.leaving, leaving) && maps.Equal(k.roles, roles)
-	k.version, k.hosts, k.leaving, k.roles = snapshot.Version(), len(view.Live()), leaving, roles
+	same := k.version == snapshot.Version() && k.hosts == hosts && maps.Equal(k.leaving, leaving) && maps.Equal(k.roles, roles)
+	k.version, k.hosts, k.leaving, k.roles = snapshot.Version(), hosts, leaving, roles
 	return !same
 }
 
 // buildFleet turns the configuration and the membership into the core's view of them.
 func buildFleet(snapshot *configurer.Snapshot, view *gossiper.View, own namer.DataCentre) decider.Fleet {
 	document := snapshot.Document()
-	fleet := decider.Fleet{DataCentre: own, Hosts: max(1, len(view.Live()))}
+	fleet := decider.Fleet{DataCentre: own, Hosts: hostsOf(snapshot, view, own)}
 	for _, name := range slices.Sorted(maps.Keys(document.Services)) {
 		fleet.Services = append(fleet.Services, serviceView(name, document.Services[name]))
 	}
+	for _, name := range slices.Sorted(maps.Keys(document.Models)) {
+		fleet.Models = append(fleet.Models, decider.ModelView{Name: name, KVBytes: document.Models[name].KVBytes})
+	}
 	for _, name := range slices.Sorted(maps.Keys(document.Endpoints)) {
 		e := document.Endpoints[name]
 		role := e.Role
@@ -125,6 +129,13 @@
 	return fleet
 }
 
+// hostsOf returns the number of daemons that decide over the same endpoints: those of the region,
+// since work hardly goes to another region.
+func hostsOf(snapshot *configurer.Snapshot, view *gossiper.View, own namer.DataCentre) int {
+	centres := snapshot.Document().DataCentres
+	return view.Hosts(func(other namer.DataCentre) bool { return centres[other].Region == centres[own].Region })
+}
+
 func serviceView(name namer.Service, s configurer.Service) decider.ServiceView {
 	view := decider.ServiceView{Name: name, Plain: s.Kind == configurer.KindPlain, Deadline: s.Deadline.Std()}
 	ranks := slices.SortedFunc(maps.Keys(s.Ranks), func(a, b namer.Rank) int { return s.Ranks[a].Order - s.Ranks[b].Order })
--- a/assembler/parts.go
+++ b/assembler/parts.go
@@ -11,12 +11,15 @@
 	"github.com/pkg/errors"
 
 	"apricotspool/administrator"
+	"apricotspool/claimer"
 	"apricotspool/decider"
+	"apricotspool/director"
 	"apricotspool/dispatcher"
 	"apricotspool/distributor"
 	"apricotspool/forwarder"
 	"apricotspool/generator"
 	"apricotspool/gossiper"
+	"apricotspool/leaser"
 	"apricotspool/lister"
 	"apricotspool/loader"
 	"apricotspool/messenger"
@@ -39,7 +42,11 @@
 	store       *storer.Client
 	distributor *distributor.Distributor
 	gossiper    *gossiper.Gossiper
+	core        *decider.Core // owned by the dispatcher's goroutine
 	dispatcher  *dispatcher.Dispatcher
+	lease       *leaser.Leaser // over the endpoints of the data centre
+	director    *director.Director
+	claimer     *claimer.Claimer
 	engine      *generator.Client
 	server      *server.Server
 
@@ -69,7 +76,10 @@
 		return nil, errors.Wrap(err, "peers' client")
 	}
 	p.store = &storer.Client{Address: d.Settings.Platform.ObjectAPI, Token: platformToken, Calls: countCalls(metrics)}
-	d.connectPeers(p, &messenger.Client{HTTP: client, Scheme: l.peerScheme()}, platformToken)
+	peers, mux := &messenger.Client{HTTP: client, Scheme: l.peerScheme()}, http.NewServeMux()
+	d.connectPeers(p, peers, mux, platformToken)
+	d.connectControl(p, peers, mux)
+	p.peers = mux
 	keys, err := loader.ReadSecrets(d.Settings.SigningKeyFiles)
 	if err != nil {
 		return nil, errors.Wrap(err, "signing keys")
@@ -93,7 +103,7 @@
 }
 
 // connectPeers builds membership and configuration, which need each other's view.
-func (d *Daemon) connectPeers(p *parts, peers *messenger.Client, platformToken string) {
+func (d *Daemon) connectPeers(p *parts, peers *messenger.Client, mux *http.ServeMux, platformToken string) {
 	self := gossiper.Peer{Host: d.Settings.Host, DataCentre: d.Settings.DataCentre, Address: d.Settings.Peers.Address}
 	seeds := otherSeeds(d.Settings)
 	p.distributor = &distributor.Distributor{
@@ -109,13 +119,11 @@
 		p.gossiper.Hosts = &lister.Client{Address: d.Settings.Platform.HostList, Token: platformToken}
 	}
 	p.distributor.Members = p.gossiper
-	mux := http.NewServeMux()
 	handlers := p.distributor.Handlers()
 	maps.Copy(handlers, p.gossiper.Handlers())
 	for path, handler := range handlers {
 		mux.Handle(path, handler)
 	}
-	p.peers = mux
 	p.children = append(p.children,
 		supervisor.Child{Name: "distributor", Part: p.distributor},
 		supervisor.Child{Name: "gossiper", Part: p.gossiper},
@@ -135,10 +143,12 @@
 
 // connectTraffic builds the decision core's owner and the callers' API.
 func (d *Daemon) connectTraffic(p *parts, keys [][]byte) {
-	p.dispatcher = &dispatcher.Dispatcher{Core: &decider.Core{Seed: p.seed()}, Retries: p.metrics}
+	p.core = &decider.Core{Seed: p.seed()}
+	p.dispatcher = &dispatcher.Dispatcher{Core: p.core, Retries: p.metrics}
 	p.server = &server.Server{
 		Log: d.Log, Metrics: p.metrics, Snapshot: p.distributor.Snapshot,
 		Dispatcher: p.dispatcher, Engine: p.engine, Service: &forwarder.Client{}, Signer: &resumer.Signer{Keys: keys},
+		Claimer: keyedCalls{claimer: p.claimer},
 		Finder: &resumer.Resumer{Engine: p.engine, Endpoints: func(service namer.Service) []generator.Target {
 			return server.Targets(p.distributor.Snapshot(), service)
 		}},
--- a/assembler/status.go
+++ b/assembler/status.go
@@ -7,8 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"apricotspool/administrator"
 	"apricotspool/configurer"
 	"apricotspool/gossiper"
@@ -40,8 +38,8 @@
 func (s *status) WriteMetrics(w io.Writer) { s.parts.metrics.Write(w) }
 
 // Release drops the binding of an endpoint that ignores fencing numbers.
-func (s *status) Release(context.Context, namer.Endpoint) error {
-	return errors.New("this daemon commands no endpoints")
+func (s *status) Release(ctx context.Context, endpoint namer.Endpoint, stopped namer.Process) error {
+	return s.parts.director.ReleaseBinding(ctx, endpoint, stopped)
 }
 
 // Status returns what the daemon knows.
@@ -50,7 +48,7 @@
 	view := p.gossiper.View()
 	out := administrator.Status{
 		Host: s.daemon.Settings.Host, DataCentre: s.daemon.Settings.DataCentre, Version: s.daemon.Version,
-		State: s.state(), Requests: p.server.Held(), Peers: peerStatus(view), Endpoints: []administrator.EndpointStatus{},
+		State: s.state(), Requests: p.server.Held(), Authority: s.authority(), Peers: peerStatus(view), Endpoints: []administrator.EndpointStatus{},
 	}
 	if snapshot := p.distributor.Snapshot(); snapshot != nil {
 		out.Configuration = snapshot.Version()
@@ -106,3 +104,9 @@
 	}
 	return endpoints
 }
+
+// authority reports whether this daemon commands the endpoints of its data centre now.
+func (s *status) authority() bool {
+	_, ok := s.parts.lease.Endpoints(s.daemon.Settings.DataCentre)
+	return ok
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -59,6 +59,7 @@
 	arrive *Ticket
 	event  *decider.Event
 	fleet  *decider.Fleet
+	query  func(now time.Time)
 }
 
 func (d *Dispatcher) init() {
@@ -116,6 +117,8 @@
 		d.perform(d.Core.Arrive(now, t.request))
 	case m.event != nil:
 		d.observe(now, *m.event)
+	case m.query != nil:
+		m.query(now)
 	}
 }
 
@@ -154,6 +157,27 @@
 	return d.send(ctx, message{fleet: &fleet})
 }
 
+// Query runs f on the control goroutine, which owns the core, and returns when it has run. f must
+// not keep what belongs to the core.
+func (d *Dispatcher) Query(ctx context.Context, f func(now time.Time)) error {
+	ran := make(chan struct{})
+	err := d.send(ctx, message{query: func(now time.Time) {
+		f(now)
+		close(ran)
+	}})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-d.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Report gives news to the core. It waits only while the inbox is full, which the control goroutine
 // empties until it stops.
 func (d *Dispatcher) Report(e decider.Event) {
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -18,8 +18,9 @@
 	Remote  []RemoteView // other data centres, by name
 
 	leaving map[namer.Endpoint]bool
-	live    []Peer // for duties: neither suspected nor leaving
-	push    []Peer // for announcements: not suspected, without this daemon
+	changes map[namer.Endpoint]bool // marked by a planned change
+	live    []Peer                  // for duties: neither suspected nor leaving
+	push    []Peer                  // for announcements: not suspected, without this daemon
 }
 
 // Member is one daemon of the own data centre.
@@ -52,7 +53,7 @@
 // View builds a view.
 func (t *Table) View(now time.Time) *View {
 	t.start(now)
-	v := &View{Self: t.Self, Loads: map[namer.Endpoint]LoadAt{}, leaving: map[namer.Endpoint]bool{}}
+	v := &View{Self: t.Self, Loads: map[namer.Endpoint]LoadAt{}, leaving: map[namer.Endpoint]bool{}, changes: map[namer.Endpoint]bool{}}
 	for _, m := range t.members {
 		v.Members = append(v.Members, Member{
 			Peer: m.info.Peer, Incarnation: m.info.Incarnation, Config: m.info.Config,
@@ -73,6 +74,9 @@
 	for subject, n := range t.notices {
 		if n.Leaving && subject.Kind == KindEndpoint {
 			v.leaving[namer.Endpoint(subject.Name)] = true
+			if subject.Source == SourceChange {
+				v.changes[namer.Endpoint(subject.Name)] = true
+			}
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(t.remote)) {
@@ -96,6 +100,20 @@
 	return v.leaving[name] || v.Loads[name].Leaving || s.Document().Endpoints[name].State == configurer.StateDraining
 }
 
+// Changing reports whether a planned change of an endpoint is in progress.
+func (v *View) Changing(name namer.Endpoint) bool { return v.changes[name] }
+
+// Hosts returns the number of live daemons in some data centres, this daemon included.
+func (v *View) Hosts(among func(namer.DataCentre) bool) int {
+	hosts := max(1, len(v.live))
+	for _, r := range v.Remote {
+		if among(r.Summary.DataCentre) {
+			hosts += r.Summary.Hosts
+		}
+	}
+	return hosts
+}
+
 // Spread returns peers for an epidemic push: random members of the own data centre, and one contact
 // in each of some other data centres; remote below 0 means all of them.
 func (v *View) Spread(random *rand.Rand, local, remote int) []Peer {
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -59,7 +59,8 @@
 	Process namer.Process
 	Log     zerolog.Logger
 	Clock   Clock // nil means SystemClock
-	// Eligible says whether this process may become the holder now; nil means always.
+	// Eligible says whether this process competes for the lease now; nil means always. A process that
+	// doesn't compete makes no calls on the object API.
 	Eligible func() bool
 	// Random returns a number from 0 to below its argument for the jitter; nil means a random one.
 	Random func(below time.Duration) time.Duration
@@ -140,6 +141,9 @@
 // compete looks at the lease and acquires it when it is free. The jitter keeps candidates from
 // writing at the same time.
 func (l *Leaser) compete(ctx context.Context) time.Duration {
+	if l.Eligible != nil && !l.Eligible() {
+		return jitter(PollInterval)
+	}
 	if err := l.read(ctx); err != nil {
 		l.Log.Debug().Err(err).Str("lease", string(l.Name)).Msg("lease-unreadable")
 		return l.jitter(PollInterval)
@@ -147,7 +151,7 @@
 	if l.value.Holder == l.Process {
 		return 0
 	}
-	if !l.free() || (l.Eligible != nil && !l.Eligible()) {
+	if !l.free() {
 		return l.jitter(PollInterval)
 	}
 	next := lease{Holder: l.Process, Fencing: l.value.Fencing + 1}
