--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -142,7 +142,7 @@
 // writing at the same time.
 func (l *Leaser) compete(ctx context.Context) time.Duration {
 	if l.Eligible != nil && !l.Eligible() {
-		return jitter(PollInterval)
+		return l.jitter(PollInterval)
 	}
 	if err := l.read(ctx); err != nil {
 		l.Log.Debug().Err(err).Str("lease", string(l.Name)).Msg("lease-unreadable")
