director: Give marks the fencing number of the lease

A former holder woke and cleared the mark that its successor had set, so routers kept sending work to the engine and it was never quiet.

Change: Marker.Mark takes the fencing number; a mark with a lower number than the last has no effect.

TestFormerHolderKeepsMark failed before and passes now.

Conclusion: marks follow the lease like commands do.

--- a/director/director.go
+++ b/director/director.go
@@ -49,9 +49,11 @@
 	Instance(ctx context.Context, address netip.AddrPort) (namer.Process, error)
 }
 
-// Marker tells the routers of the data centre that an endpoint changes and gets no new work.
+// Marker tells the routers of the data centre that an endpoint changes and gets no new work. A mark
+// carries the lease's fencing number: one with a lower number than the last has no effect, so that
+// a former holder doesn't clear its successor's.
 type Marker interface {
-	Mark(endpoint namer.Endpoint, changing bool)
+	Mark(endpoint namer.Endpoint, fencing namer.Fencing, changing bool)
 }
 
 // Budget limits the rate of model loads.
--- a/director/fake_test.go
+++ b/director/fake_test.go
@@ -142,13 +142,13 @@
 	mu         sync.Mutex
 	violations []string
 	checks     int
-	marks      map[namer.Endpoint]time.Time
+	marks      map[namer.Endpoint]mark
 	processes  []*process
 	network    string // how commands to engines go wrong
 }
 
 func newWorld(fencing ...bool) *world {
-	w := &world{store: &imitator.Store{}, marks: map[namer.Endpoint]time.Time{}}
+	w := &world{store: &imitator.Store{}, marks: map[namer.Endpoint]mark{}}
 	for i, f := range fencing {
 		w.engines = append(w.engines, &engine{
 			world: w, name: namer.Endpoint(fmt.Sprintf("e%d", i)), fencing: f, seen: map[string]bool{},
@@ -174,20 +174,25 @@
 	return slices.Clone(w.violations)
 }
 
-func (w *world) Mark(e namer.Endpoint, changing bool) {
+// mark is what the routers know of an endpoint.
+type mark struct {
+	fencing  namer.Fencing
+	changing bool
+	at       time.Time
+}
+
+func (w *world) Mark(e namer.Endpoint, fencing namer.Fencing, changing bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.marks, e)
-	if changing {
-		w.marks[e] = time.Now()
+	if fencing >= w.marks[e].fencing {
+		w.marks[e] = mark{fencing, changing, time.Now()}
 	}
 }
 
 func (w *world) marked(e namer.Endpoint) (bool, time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	at, ok := w.marks[e]
-	return ok, time.Since(at)
+	return w.marks[e].changing, time.Since(w.marks[e].at)
 }
 
 func (w *world) fail(network string) {
--- a/director/fault_test.go
+++ b/director/fault_test.go
@@ -286,3 +286,22 @@
 		})
 	}
 }
+
+// Guards against a former holder that wakes and clears the mark of its successor's change, which lets
+// new work reach an engine that is about to change, or keeps the change from ending.
+func TestFormerHolderKeepsMark(t *testing.T) {
+	w := newWorld(true)
+	run(t, w, func(ctx context.Context, is *is.I, p *process) {
+		next := w.start(ctx, 1)
+		defer next.cancel()
+		w.engines[0].stick()
+		go p.apply(role("e0"))
+		time.Sleep(time.Second)
+		p.Pause(20 * time.Second)
+		time.Sleep(22 * time.Second)
+		_, holds := next.authority()
+		marked, _ := w.marked("e0")
+		is.True(holds && w.record("e0").Change != nil) // the successor goes on
+		is.True(marked)
+	})
+}
--- a/director/worker.go
+++ b/director/worker.go
@@ -64,7 +64,7 @@
 // unmark ends the mark however the worker ends. A successor sets its own before it sends anything.
 func (w *worker) unmark() {
 	if !w.marked.IsZero() {
-		w.director.Marker.Mark(w.endpoint.Name, false)
+		w.director.Marker.Mark(w.endpoint.Name, w.authority.Fencing(), false)
 	}
 }
 
@@ -139,7 +139,7 @@
 // mark tells the routers of the data centre that the endpoint changes.
 func (w *worker) mark() {
 	if w.marked.IsZero() {
-		w.director.Marker.Mark(w.endpoint.Name, true)
+		w.director.Marker.Mark(w.endpoint.Name, w.authority.Fencing(), true)
 		w.marked = time.Now()
 	}
 }
