--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -143,6 +143,7 @@
 	Subject Subject
 	Stamp   uint64 // the greater one is newer; about microseconds of wall clock
 	Leaving bool
+	Fencing namer.Fencing // of a planned change: number of the lease that allows it; goes before Stamp
 }
 
 // Notices is the message of announce-leaving.
--- a/gossiper/notice.go
+++ b/gossiper/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -28,9 +29,8 @@
 		leaving = 1
 	}
 	raw := []byte{byte(n.Subject.Kind), byte(n.Subject.Source), leaving}
-	for i := range 8 {
-		raw = append(raw, byte(n.Stamp>>(8*i)))
-	}
+	raw = binary.LittleEndian.AppendUint64(raw, n.Stamp)
+	raw = binary.LittleEndian.AppendUint64(raw, uint64(n.Fencing))
 	h.Write(raw)
 	h.WriteString(n.Subject.Name)
 	return h.Sum64()
@@ -40,9 +40,12 @@
 	return n.Subject.Kind <= KindHost && n.Subject.Source <= SourceChange && n.Subject.Name != "" && len(n.Subject.Name) <= namer.MaxNameLength
 }
 
-// newer reports whether n replaces other. Of two notices with one stamp the one that says "leaving"
+// newer reports whether n replaces other. A former lease holder can't clear its successor's mark. Of two notices with one stamp the one that says "leaving"
 // stands, since new work for a leaving endpoint is the greater harm.
 func (n Notice) newer(other Notice) bool {
+	if n.Fencing != other.Fencing {
+		return n.Fencing > other.Fencing
+	}
 	return n.Stamp > other.Stamp || (n.Stamp == other.Stamp && n.Leaving && !other.Leaving)
 }
 
