Separate the overhead of first tokens from the prefill rate; plan roles by memory and streams

Cause: a prompt shorter than an engine step made the learned rate too low for long ones, every first token of a prefill engine counted as late, and the window of urgent work shrank to one request. Change: short prompts teach an overhead, long ones the rate; the window keeps at least a fifth of the target.

--- a/decider/arrive.go
+++ b/decider/arrive.go
@@ -212,7 +212,7 @@
 	c.router.Dispatched(at, t.slot, &t.pool.Pool, class, tokens)
 	t.pool.running[t.rank]++
 	if !t.pool.Plain {
-		t.pending = c.router.Rates(t.slot).Prefill(choice.Uncached, 0)
+		t.pending = c.router.Rates(choice.Processor()).Prefill(choice.Uncached, 0)
 		t.pool.windows[t.rank].pending += t.pending
 	}
 	if t.retry {
--- a/decider/core.go
+++ b/decider/core.go
@@ -154,7 +154,7 @@
 	}
 	load := router.Load{
 		At: min(c.seconds(e.Load.At), at), Requests: float64(e.Load.Running + e.Load.Waiting),
-		Prefill: float64(e.Load.WaitingPrefill), Role: e.Load.Role, Leaving: e.Load.Leaving || c.configuredLeaving(e.Endpoint),
+		Prefill: float64(e.Load.WaitingPrefill), KVUsed: e.Load.KVUsed, Role: e.Load.Role, Leaving: e.Load.Leaving || c.configuredLeaving(e.Endpoint),
 	}
 	changed := c.router.Report(at, s, &pools[0].Pool, load)
 	for _, p := range pools {
--- a/decider/feedback.go
+++ b/decider/feedback.go
@@ -34,7 +34,7 @@
 
 // The limits of a window, as parts of the rank's target to the first token.
 const (
-	windowMin   = 0.05
+	windowMin   = 0.2
 	windowStart = 0.25
 	windowMax   = 0.8
 	windowGrow  = 0.01
--- a/decider/observe.go
+++ b/decider/observe.go
@@ -37,7 +37,6 @@
 	processor := t.slot
 	if t.prefill != router.None {
 		processor = t.prefill
-		took -= namer.Seconds(t.request.PromptTokens) * t.pool.TransferTime
 		c.router.Ended(at, t.prefill, t.class, 0)
 	}
 	c.router.Cache(processor, t.request.Prefix, nil, false)
@@ -53,7 +52,10 @@
 		return
 	}
 	rates := c.router.Rates(s)
-	took -= 2*c.router.Distance(s) + rates.Token(t.load)
+	took -= 2 * c.router.Distance(s)
+	if s == t.slot {
+		took -= rates.Token(t.load)
+	}
 	rates.LearnPrefill(own+t.choice.Ahead, t.load, took)
 }
 
--- a/decider/view.go
+++ b/decider/view.go
@@ -35,29 +35,14 @@
 }
 
 func (c *Core) engines(p *pool) []planner.Engine {
-	target := c.strictestPace(p.service.Name)
 	engines := make([]planner.Engine, 0, len(p.Members()))
 	for _, s := range p.Members() {
-		rates := c.router.Rates(s)
-		batch := c.router.Limit(s)
-		if target > 0 {
-			batch = min(batch, rates.Batch(target))
-		}
-		output := float64(c.estimates.Output("", p.service.Name, 0))
+		rates, load := c.router.Rates(s), c.router.LastLoad(s)
 		engines = append(engines, planner.Engine{
 			Name: c.router.Name(s), Role: c.router.Role(s), Leaving: c.router.Leaving(s),
-			Drain:    namer.Seconds(min(1, c.router.Running(s))*output) * rates.Token(c.router.Running(s)),
-			KVTokens: c.router.Running(s) * p.meanPrompt(), PrefillRate: rates.PrefillRate(0),
-			DecodeRate: batch / float64(rates.Token(batch)),
+			Running: int(load.Requests), WaitingPrefill: namer.Tokens(load.Prefill), KVUsed: load.KVUsed,
+			PrefillRate: rates.PrefillRate(0), DecodeRate: 1 / float64(rates.Token(0)), Concurrency: int(c.router.Ceiling(s)),
 		})
 	}
 	return engines
 }
-
-// meanPrompt is the mean prompt of the offered requests.
-func (p *pool) meanPrompt() float64 {
-	if p.demand.requests < 1e-9 {
-		return 0
-	}
-	return p.demand.prompt / p.demand.requests
-}
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -35,6 +35,7 @@
 // different speeds.
 type learned struct {
 	prefill, decode line
+	overhead        namer.Seconds // to the first token beside the work on the prompt, such as a step in progress
 }
 
 func unlearned() learned {
@@ -124,26 +125,40 @@
 	return max(1, loadUnit*spare/max(r.decode.slope, 0.01))
 }
 
-// fullWeight is the prompt length from which an observation counts fully; shorter prompts are
-// dominated by the length of one engine step.
-const fullWeight = 2_000.0
+// Overhead returns the time to the first token that does not depend on the prompt.
+func (r *Rates) Overhead() namer.Seconds { return r.overhead }
+
+// longPrompt separates what an observation shows: the rate if the prompt is longer, the overhead if
+// it is shorter. Short prompts take about one engine step, whose length would distort the rate.
+const longPrompt = 2_000.0
 
 // unseenBias makes prefill follow a low quantile: a first token often waits for other hosts' work
 // that no report has shown yet, and never comes early.
 const unseenBias = 0.2
 
+const overheadStep = 0.1
+
 // LearnPrefill takes the observed time to process tokens beside running requests.
 func (r *Rates) LearnPrefill(tokens, running float64, took namer.Seconds) {
 	if tokens <= 0 || took <= 0 {
 		return
 	}
-	weight := 1.0
-	if r.prefillScale != DefaultCallTime {
-		weight = min(1, tokens/fullWeight)
+	if tokens < longPrompt && r.prefillScale != DefaultCallTime {
+		r.learnOverhead(took - r.Prefill(tokens, running))
+		return
 	}
+	took = max(took/2, took-r.overhead)
 	y := float64(took) / tokens / r.prefillScale
-	r.prefill.learn(running/loadUnit, y, weight, unseenBias)
-	r.model.prefill.learn(running/loadUnit, y, weight/4, unseenBias)
+	r.prefill.learn(running/loadUnit, y, 1, unseenBias)
+	r.model.prefill.learn(running/loadUnit, y, 0.25, unseenBias)
+}
+
+func (r *Rates) learnOverhead(rest namer.Seconds) {
+	step := namer.Seconds(overheadStep)
+	if rest > r.overhead {
+		step *= unseenBias
+	}
+	r.overhead = max(0, r.overhead+step*(rest-r.overhead))
 }
 
 // LearnDecode takes the observed mean time between tokens beside running requests.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"os"
 	"slices"
 
 	"apricotspool/asserter"
@@ -15,14 +17,15 @@
 type Engine struct {
 	Name     namer.Endpoint
 	Role     namer.Role
-	Changing bool // a command is being carried out
+	Changing bool // drains or carries out a command
 	Leaving  bool
-	// Drain is the time until the work in progress has finished.
-	Drain    namer.Seconds
-	KVTokens float64 // tokens of KV cache that would have to be moved or computed again
-	// PrefillRate and DecodeRate are tokens a second of an engine that does nothing else and meets
-	// the targets.
+	// Of the last load report.
+	Running        int
+	WaitingPrefill namer.Tokens
+	KVUsed         float64 // part of the KV memory, 0 to 1
+	// PrefillRate and DecodeRate are tokens a second when idle, the latter of one stream.
 	PrefillRate, DecodeRate float64
+	Concurrency             int
 }
 
 // View is the state of one set of engines.
@@ -44,7 +47,8 @@
 	DefaultHorizon    namer.Seconds = 120 // shifts last 3 to 10 minutes
 	DefaultChangeTime namer.Seconds = 8   // upper end of what engines take
 	DefaultCooldown   namer.Seconds = 95  // at most two changes of an engine in a shift of 3 minutes
-	DefaultMixedLoss                = 0.1
+	// DefaultMixedLoss is what separate steps for decoding cost an engine that also processes prompts.
+	DefaultMixedLoss = 0.25
 )
 
 // Planner holds the settings and what it remembers between plans. The zero value uses the defaults.
@@ -74,7 +78,7 @@
 	// changes: on a steady mix that fits, nothing is changed for a small gain.
 	satisfied = 0.97
 	// headroom is the load above the offered one that roles are planned for.
-	headroom = 1.1
+	headroom = 0.95
 )
 
 // split counts engines by role.
@@ -109,6 +113,9 @@
 	if now-p.wantedSince < settle {
 		return nil
 	}
+	if os.Getenv("PLANTRACE") != "" {
+		fmt.Printf("%.0f current %+v best %+v fast %.2f slow %.2f served %.2f chosen %v\n", now, current, best, fast, slow, p.served(current, slow), chosen)
+	}
 	for _, c := range chosen {
 		p.changed[c.Endpoint] = now
 	}
@@ -158,18 +165,42 @@
 // load is the offered work in engines: the time that one engine needs for one second's requests.
 type load struct{ prefill, decode, transfer float64 }
 
+const (
+	// memoryUse is the part of the KV memory that streams fill before engines preempt them.
+	memoryUse = 0.85
+	// batchSlowdown is the time between tokens in a full batch relative to that of a single stream.
+	batchSlowdown = 2.0
+)
+
+// load predicts the work of the offered tokens. The decode capacity of an engine depends on the
+// memory that the streams of the present mix take.
 func (p *Planner) load(v View, prompt, output float64) load {
-	prefillRate, decodeRate := 0.0, 0.0
+	prefillRate, decodeRate, streams, running, memory := 0.0, 0.0, 0.0, 0.0, 0.0
+	n := float64(len(v.Engines))
 	for _, e := range v.Engines {
-		prefillRate += e.PrefillRate / float64(len(v.Engines))
-		decodeRate += e.DecodeRate / float64(len(v.Engines))
+		prefillRate += e.PrefillRate / n
+		decodeRate += e.DecodeRate / n
+		streams += float64(e.Concurrency) / n
+		if e.Role.CanDecode() {
+			running += float64(e.Running)
+			memory += e.KVUsed
+		}
 	}
+	if memory > 0 && running > 0 {
+		streams = min(streams, memoryUse*running/memory)
+	}
+	// An engine that only processes prompts is as much faster as a mixed one loses.
+	prefillRate /= 1 - p.MixedLoss
+	decodeRate *= max(streams, 1) / batchSlowdown
 	return load{
 		prefill: headroom * prompt / max(prefillRate, 1), decode: headroom * output / max(decodeRate, 1),
-		transfer: headroom * prompt * float64(v.TransferTime),
+		transfer: headroom * prompt * float64(v.TransferTime) * transferWork,
 	}
 }
 
+// transferWork is the engine time that a transfer takes, since links work beside the accelerators.
+const transferWork = 0.1
+
 // served returns the part of the load that a split can serve, at most 1.
 func (p *Planner) served(s split, l load) float64 {
 	if l.prefill+l.decode == 0 {
@@ -226,7 +257,7 @@
 	}
 	candidates := slices.Clone(v.Engines)
 	slices.SortStableFunc(candidates, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(p.cost(v, a), p.cost(v, b)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(p.cost(a), p.cost(b)), cmp.Compare(a.Name, b.Name))
 	})
 	var chosen []Change
 	for _, e := range candidates {
@@ -247,10 +278,17 @@
 	return chosen
 }
 
+// drainTime is about the time in which the streams of an engine end.
+const drainTime namer.Seconds = 10
+
+func (e Engine) drain() namer.Seconds {
+	return drainTime * namer.Seconds(min(1, float64(e.Running)/max(1, float64(e.Concurrency)/4)))
+}
+
 // cost is the engine time that a change of the engine loses.
-func (p *Planner) cost(v View, e Engine) namer.Seconds {
+func (p *Planner) cost(e Engine) namer.Seconds {
 	// While it drains an engine is half used on average.
-	return p.ChangeTime + e.Drain/2 + namer.Seconds(e.KVTokens)*v.TransferTime
+	return p.ChangeTime + e.drain()/2
 }
 
 // pays reports whether the changes gain more within the horizon than they cost.
@@ -260,7 +298,7 @@
 	for _, c := range chosen {
 		after = after.move(c)
 		i := slices.IndexFunc(v.Engines, func(e Engine) bool { return e.Name == c.Endpoint })
-		cost += p.cost(v, v.Engines[i])
+		cost += p.cost(v.Engines[i])
 	}
 	gain := (p.served(after, l) - p.served(current, l)) * (l.prefill + l.decode)
 	return namer.Seconds(gain)*p.Horizon > payback*cost
--- a/router/pick.go
+++ b/router/pick.go
@@ -34,6 +34,14 @@
 	Ahead      float64 // prompt tokens that are processed before
 }
 
+// Processor returns the engine that processes the prompt.
+func (c Choice) Processor() Slot {
+	if c.Prefill != None {
+		return c.Prefill
+	}
+	return c.Slot
+}
+
 // Weights of the score, in seconds a second. See docs/measurements-decisions.md for the rounds.
 const (
 	// decodeWeight prices the time to generate the output, which balances the batch sizes.
@@ -182,7 +190,7 @@
 	perToken := e.Rates.Prefill(1, running)
 	wait, own, uncached, ahead := f.prompt(s, e, perToken)
 	pace := float64(e.Rates.Token(running + 1))
-	first := wait + own + 2*e.Distance + namer.Seconds(pace)
+	first := wait + own + e.Rates.Overhead() + 2*e.Distance + namer.Seconds(pace)
 	if !f.inTime(e, running, wait, first) {
 		return
 	}
@@ -201,7 +209,7 @@
 	perToken := e.Rates.Prefill(1, running)
 	if e.Role == namer.RolePrefill {
 		wait, own, uncached, ahead := f.prompt(s, e, perToken)
-		if first := wait + own + 2*e.Distance; f.inTime(e, running, wait, first) {
+		if first := wait + own + e.Rates.Overhead() + 2*e.Distance; f.inTime(e, running, wait, first) {
 			f.prefill.offer(s, float64(first)+f.noise(e, perToken), first, uncached, ahead)
 		}
 		return
--- a/router/router.go
+++ b/router/router.go
@@ -45,6 +45,7 @@
 	urgent   int           // those of class 0
 	heardAt  namer.Seconds // last first token or end of an own attempt
 
+	last      Load
 	backlog   [Classes]float64 // prompt tokens that wait for prefill, at backlogAt
 	backlogAt namer.Seconds
 }
@@ -150,6 +151,12 @@
 	return max(r.endpoints[s].heardAt, r.endpoints[s].reportAt)
 }
 
+// LastLoad returns the last report of an endpoint.
+func (r *Router) LastLoad(s Slot) Load { return r.endpoints[s].last }
+
+// Ceiling returns the configured concurrency of an endpoint.
+func (r *Router) Ceiling(s Slot) float64 { return r.endpoints[s].Endpoint.Ceiling }
+
 // Limit returns the concurrency limit of an endpoint.
 func (r *Router) Limit(s Slot) float64 { return r.endpoints[s].limit.Value() }
 
@@ -170,6 +177,7 @@
 	At       namer.Seconds
 	Requests float64 // running and waiting
 	Prefill  float64 // prompt tokens that wait
+	KVUsed   float64 // part of the KV memory
 	Role     namer.Role
 	Leaving  bool
 }
@@ -183,7 +191,7 @@
 	}
 	r.advance(now, e, p)
 	known := e.backlog
-	e.reportAt, e.reported, e.since = load.At, load.Requests, 0
+	e.last, e.reportAt, e.reported, e.since = load, load.At, load.Requests, 0
 	total := load.Prefill - float64(now-load.At)*e.Rates.PrefillRate(load.Requests)
 	kept := e.recent[:0]
 	for _, c := range e.recent {
