Plan prefill engines out of mixed ones and count other hosts' prompts by role

Cause: a decode role takes an engine from prompts although mixed engines decode moved prompts as well; the planner stopped after its first step because each step alone paid too little; a few prefill engines looked idle to every host, since other hosts' prompts were spread over all members. Change: the planner weighs the whole way, only gives up mixed engines for prefill, allows two changes of an engine in 10 minutes; the router counts other hosts' prompts by group of roles.

--- a/experimenter/policy.go
+++ b/experimenter/policy.go
@@ -33,6 +33,10 @@
 func Contenders() []Contender {
 	return []Contender{
 		{Name: "core", New: func(seed uint64) Policy { return &decider.Core{Seed: seed} }},
+		{
+			Name: "core+planner", New: func(seed uint64) Policy { return &decider.Core{Seed: seed} },
+			Planner: func() Planner { return &RolePlanner{} },
+		},
 		{Name: "round-robin", New: func(seed uint64) Policy { return &Baseline{Choose: RoundRobin(seed)} }},
 		{Name: "least-outstanding", New: func(uint64) Policy { return &Baseline{Choose: LeastOutstanding} }},
 		{Name: "power-of-two", New: func(seed uint64) Policy { return &Baseline{Choose: PowerOfTwo(seed)} }},
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -5,8 +5,6 @@
 
 import (
 	"cmp"
-	"fmt"
-	"os"
 	"slices"
 
 	"apricotspool/asserter"
@@ -33,7 +31,6 @@
 	Engines []Engine
 	// Prompt and Output are the offered tokens a second, refused requests included.
 	Prompt, Output float64
-	TransferTime   namer.Seconds // to move the KV cache of one token
 }
 
 // Change is a proposed role change.
@@ -48,7 +45,7 @@
 	DefaultChangeTime namer.Seconds = 8   // upper end of what engines take
 	DefaultCooldown   namer.Seconds = 95  // at most two changes of an engine in a shift of 3 minutes
 	// DefaultMixedLoss is what separate steps for decoding cost an engine that also processes prompts.
-	DefaultMixedLoss = 0.25
+	DefaultMixedLoss = 0.4
 )
 
 // Planner holds the settings and what it remembers between plans. The zero value uses the defaults.
@@ -59,28 +56,40 @@
 	// MixedLoss is the part of an engine's capacity within targets that is lost while it serves both phases.
 	MixedLoss float64
 
-	slowPrompt, slowOutput float64
-	at                     namer.Seconds
-	started                bool
-	wanted                 split
-	wantedSince            namer.Seconds
-	changed                map[namer.Endpoint]namer.Seconds
+	fast, slow  offer
+	at          namer.Seconds
+	started     bool
+	wanted      split
+	wantedSince namer.Seconds
+	changed     map[namer.Endpoint]record
 }
 
 const (
-	// slowTime smooths the demand so that a burst of long prompts does not look like a shift.
-	slowTime namer.Seconds = 30
+	// Both averages of the demand must agree: the fast one follows a shift within a quarter of a
+	// minute, the slow one keeps a burst of long prompts from looking like a shift.
+	fastTime namer.Seconds = 15
+	slowTime namer.Seconds = 40
 	// settle is how long the same change must look right.
 	settle namer.Seconds = 6
-	// payback is how many times its cost a change must gain within the horizon.
-	payback = 2.0
+	// payback is how many times their cost changes must gain within the horizon. With 2 the planner
+	// stopped after the first step, since the second gains less than the whole way costs.
+	payback = 1.0
 	// satisfied is the part of the demand that the present roles must fail to serve before anything
 	// changes: on a steady mix that fits, nothing is changed for a small gain.
 	satisfied = 0.97
 	// headroom is the load above the offered one that roles are planned for.
-	headroom = 0.95
+	headroom = 1.2
 )
 
+// record holds the last changes of an engine.
+type record struct {
+	at, before namer.Seconds // of the last one and of the one before it
+	to         namer.Role
+}
+
+// longestShift is the longest time between two shifts of the mix. An engine changes at most twice in it.
+const longestShift namer.Seconds = 600
+
 // split counts engines by role.
 type split struct{ mixed, prefill, decode int }
 
@@ -90,20 +99,20 @@
 func (p *Planner) Plan(now namer.Seconds, v View) []Change {
 	p.defaults()
 	p.smooth(now, v)
-	current, changing := count(v.Engines)
+	current, changing := p.count(v.Engines)
 	if current.engines() < 2 {
 		return nil
 	}
-	fast := p.load(v, v.Prompt, v.Output)
-	slow := p.load(v, p.slowPrompt, p.slowOutput)
+	fast := p.load(v, p.fast)
+	slow := p.load(v, p.slow)
 	if p.served(current, fast) >= satisfied || p.served(current, slow) >= satisfied {
 		p.wanted = split{}
 		return nil
 	}
-	best := p.best(current, slow)
+	best := p.best(current, slow.times(headroom))
 	allowed := max(1, len(v.Engines)/4) - changing
 	chosen := p.choose(now, v, current, best, allowed)
-	if len(chosen) == 0 || !p.pays(v, current, chosen, fast) || !p.pays(v, current, chosen, slow) {
+	if len(chosen) == 0 || !p.pays(v, current, best, fast) || !p.pays(v, current, best, slow) {
 		p.wanted = split{}
 		return nil
 	}
@@ -113,11 +122,12 @@
 	if now-p.wantedSince < settle {
 		return nil
 	}
-	if os.Getenv("PLANTRACE") != "" {
-		fmt.Printf("%.0f current %+v best %+v fast %.2f slow %.2f served %.2f chosen %v\n", now, current, best, fast, slow, p.served(current, slow), chosen)
-	}
 	for _, c := range chosen {
-		p.changed[c.Endpoint] = now
+		last, again := p.changed[c.Endpoint]
+		if !again {
+			last.at = -longestShift
+		}
+		p.changed[c.Endpoint] = record{at: now, before: last.at, to: c.To}
 	}
 	asserter.Check(changing+len(chosen) <= max(1, len(v.Engines)/4), "at most one engine in four changes at once",
 		"%d changing, %d chosen of %d", changing, len(chosen), len(v.Engines))
@@ -130,30 +140,45 @@
 	p.Cooldown = cmp.Or(p.Cooldown, DefaultCooldown)
 	p.MixedLoss = cmp.Or(p.MixedLoss, DefaultMixedLoss)
 	if p.changed == nil {
-		p.changed = map[namer.Endpoint]namer.Seconds{}
+		p.changed = map[namer.Endpoint]record{}
 	}
 }
 
 func (p *Planner) smooth(now namer.Seconds, v View) {
+	present := offer{v.Prompt, v.Output}
 	if !p.started {
-		p.started, p.at, p.slowPrompt, p.slowOutput = true, now, v.Prompt, v.Output
+		p.started, p.at, p.fast, p.slow = true, now, present, present
 		return
 	}
-	step := float64(min(1, (now-p.at)/slowTime))
+	p.fast.follow(present, (now-p.at)/fastTime)
+	p.slow.follow(present, (now-p.at)/slowTime)
 	p.at = now
-	p.slowPrompt += (v.Prompt - p.slowPrompt) * step
-	p.slowOutput += (v.Output - p.slowOutput) * step
 }
 
-func count(engines []Engine) (current split, changing int) {
+// offer is the offered work in tokens a second.
+type offer struct{ prompt, output float64 }
+
+func (o *offer) follow(present offer, step namer.Seconds) {
+	part := float64(min(1, step))
+	o.prompt += (present.prompt - o.prompt) * part
+	o.output += (present.output - o.output) * part
+}
+
+// count counts the engines by role, those that change by their next one.
+func (p *Planner) count(engines []Engine) (current split, changing int) {
 	for _, e := range engines {
-		switch {
-		case e.Changing:
+		role := e.Role
+		if e.Changing {
 			changing++
+			if last, planned := p.changed[e.Name]; planned {
+				role = last.to
+			}
+		}
+		switch {
 		case e.Leaving:
-		case e.Role == namer.RolePrefill:
+		case role == namer.RolePrefill:
 			current.prefill++
-		case e.Role == namer.RoleDecode:
+		case role == namer.RoleDecode:
 			current.decode++
 		default:
 			current.mixed++
@@ -163,18 +188,23 @@
 }
 
 // load is the offered work in engines: the time that one engine needs for one second's requests.
-type load struct{ prefill, decode, transfer float64 }
+type load struct{ prefill, decode float64 }
+
+func (l load) times(factor float64) load { return load{l.prefill * factor, l.decode * factor} }
 
 const (
 	// memoryUse is the part of the KV memory that streams fill before engines preempt them.
 	memoryUse = 0.85
+	// prefillGain is the rate of an engine with the prefill role relative to the configured one, since
+	// it processes longer chunks in a step.
+	prefillGain = 1.3
 	// batchSlowdown is the time between tokens in a full batch relative to that of a single stream.
 	batchSlowdown = 2.0
 )
 
 // load predicts the work of the offered tokens. The decode capacity of an engine depends on the
 // memory that the streams of the present mix take.
-func (p *Planner) load(v View, prompt, output float64) load {
+func (p *Planner) load(v View, o offer) load {
 	prefillRate, decodeRate, streams, running, memory := 0.0, 0.0, 0.0, 0.0, 0.0
 	n := float64(len(v.Engines))
 	for _, e := range v.Engines {
@@ -189,50 +219,40 @@
 	if memory > 0 && running > 0 {
 		streams = min(streams, memoryUse*running/memory)
 	}
-	// An engine that only processes prompts is as much faster as a mixed one loses.
-	prefillRate /= 1 - p.MixedLoss
+	prefillRate *= prefillGain
 	decodeRate *= max(streams, 1) / batchSlowdown
 	return load{
-		prefill: headroom * prompt / max(prefillRate, 1), decode: headroom * output / max(decodeRate, 1),
-		transfer: headroom * prompt * float64(v.TransferTime) * transferWork,
+		prefill: o.prompt / max(prefillRate, 1), decode: o.output / max(decodeRate, 1),
 	}
 }
 
-// transferWork is the engine time that a transfer takes, since links work beside the accelerators.
-const transferWork = 0.1
-
-// served returns the part of the load that a split can serve, at most 1.
+// served returns the part of the load that a split can serve, at most 1. Prompts go to prefill
+// engines first; mixed engines take the rest, at a loss, and the decoding.
 func (p *Planner) served(s split, l load) float64 {
-	if l.prefill+l.decode == 0 {
-		return 1
-	}
-	mixed := float64(s.mixed) * (1 - p.MixedLoss)
-	prefill, decode := float64(s.prefill), float64(s.decode)
-	// Prompts that prefill engines process move their KV cache to the others.
-	moved := l.transfer
-	if l.prefill > 0 {
-		moved *= min(1, prefill/l.prefill)
-	}
-	part := (prefill + decode + mixed) / (l.prefill + l.decode + moved)
-	if l.prefill > 0 {
-		part = min(part, (prefill+mixed)/l.prefill)
-	}
+	prefill, mixed, others := float64(s.prefill), float64(s.mixed), float64(s.mixed+s.decode)
+	part := 1.0
 	if l.decode > 0 {
-		part = min(part, (decode+mixed)/(l.decode+moved))
+		part = min(part, others/l.decode)
+	}
+	if l.prefill == 0 || part*l.prefill <= prefill {
+		return part
 	}
-	return min(1, part)
+	whole := 1 - p.MixedLoss
+	part = min(part, (prefill+mixed*whole)/l.prefill)
+	return min(part, (others+prefill/whole)/(l.prefill/whole+l.decode))
 }
 
 // granularity bounds the splits that are compared in large sets.
 const granularity = 48
 
-// best returns the split that serves most; of equal ones that with the fewest changes.
+// best returns the split that serves most; of equal ones that with the fewest changes. Mixed engines
+// decode what prefill engines have processed, so none is given up for the decode role.
 func (p *Planner) best(current split, l load) split {
 	n := current.engines()
 	step := max(1, n/granularity)
 	best, bestServed := current, p.served(current, l)
 	for prefill := 0; prefill < n; prefill += step {
-		for decode := 0; prefill+decode <= n; decode += step {
+		for decode := 0; decode <= min(current.decode, n-prefill); decode += step {
 			s := split{n - prefill - decode, prefill, decode}
 			if (s.mixed == 0 && s.decode == 0) || (s.mixed == 0 && s.prefill == 0) {
 				continue
@@ -262,7 +282,8 @@
 	var chosen []Change
 	for _, e := range candidates {
 		last, before := p.changed[e.Name]
-		if len(chosen) >= allowed || e.Changing || e.Leaving || surplus[e.Role] <= 0 || (before && now-last < p.Cooldown) {
+		if len(chosen) >= allowed || e.Changing || e.Leaving || surplus[e.Role] <= 0 ||
+			(before && (now-last.at < p.Cooldown || now-last.before < longestShift)) {
 			continue
 		}
 		to := namer.RoleMixed
@@ -291,34 +312,15 @@
 	return p.ChangeTime + e.drain()/2
 }
 
-// pays reports whether the changes gain more within the horizon than they cost.
-func (p *Planner) pays(v View, current split, chosen []Change, l load) bool {
-	after := current
-	cost := namer.Seconds(0)
-	for _, c := range chosen {
-		after = after.move(c)
-		i := slices.IndexFunc(v.Engines, func(e Engine) bool { return e.Name == c.Endpoint })
-		cost += p.cost(v.Engines[i])
-	}
-	gain := (p.served(after, l) - p.served(current, l)) * (l.prefill + l.decode)
-	return namer.Seconds(gain)*p.Horizon > payback*cost
-}
-
-func (s split) move(c Change) split {
-	for _, role := range []struct {
-		name  namer.Role
-		delta int
-	}{{c.From, -1}, {c.To, 1}} {
-		switch role.name {
-		case namer.RolePrefill:
-			s.prefill += role.delta
-		case namer.RoleDecode:
-			s.decode += role.delta
-		default:
-			s.mixed += role.delta
-		}
+// pays reports whether the whole way to a split gains more within the horizon than it costs. A step
+// on the way can gain little by itself.
+func (p *Planner) pays(v View, current, best split, l load) bool {
+	dearest := namer.Seconds(0)
+	for _, e := range v.Engines {
+		dearest = max(dearest, p.cost(e))
 	}
-	return s
+	gain := (p.served(best, l) - p.served(current, l)) * (l.prefill + l.decode)
+	return namer.Seconds(gain)*p.Horizon > payback*dearest*namer.Seconds(moves(current, best))
 }
 
 // sameDirection reports whether two wanted splits ask for more of the same phase.
--- a/router/pick.go
+++ b/router/pick.go
@@ -83,8 +83,8 @@
 	query  *Query
 	now    namer.Seconds
 	levels []match
-	unseen float64 // prompt tokens a second of other hosts at a member, up to the query's class
-	forced bool    // health is ignored, because most members are ejected
+	unseen [groups]float64 // prompt tokens a second of other hosts at a member, up to the query's class
+	forced bool            // health is ignored, because most members are ejected
 
 	whole, prefill, decode best
 }
@@ -100,7 +100,9 @@
 	f.whole.slot, f.prefill.slot, f.decode.slot = None, None, None
 	f.forced = p.mostEjected()
 	for c := 0; c <= min(q.Class, Classes-1); c++ {
-		f.unseen += p.others[c]
+		for g := range p.others {
+			f.unseen[g] += p.others[g][c]
+		}
 	}
 	if len(p.members) <= scanAll {
 		for _, s := range p.members {
@@ -272,7 +274,7 @@
 // noise grows with the work that other hosts may have sent since the report.
 func (f *search) noise(e *endpoint, perToken namer.Seconds) float64 {
 	age := float64(f.now - e.reportAt)
-	seconds := f.unseen * min(age, flowTime) * float64(perToken)
+	seconds := f.unseen[group(e.Role)] * min(age, flowTime) * float64(perToken)
 	return noiseWeight * (0.002 + min(seconds, 1)) * f.router.Random.Float64()
 }
 
--- a/router/pool.go
+++ b/router/pool.go
@@ -19,8 +19,9 @@
 	split   bool   // some members process only prompts
 	ejected int    // members that are ejected
 
-	flow   [Classes]float64 // own prompt tokens sent, decayed
-	others [Classes]float64 // prompt tokens a second that other hosts send to one member
+	groups [groups]int              // members that process only prompts, and others
+	flow   [groups][Classes]float64 // own prompt tokens sent, decayed
+	others [groups][Classes]float64 // prompt tokens a second that other hosts send to one member
 	flowAt namer.Seconds
 }
 
@@ -52,33 +53,47 @@
 
 // Roles updates what depends on the members' roles.
 func (r *Router) Roles(p *Pool) {
-	p.split = false
+	p.groups = [groups]int{}
 	for _, s := range p.members {
-		p.split = p.split || r.endpoints[s].Role == namer.RolePrefill
+		p.groups[group(r.endpoints[s].Role)]++
 	}
+	p.split = p.groups[group(namer.RolePrefill)] > 0
 }
 
 // Members returns the members, nearest first.
 func (p *Pool) Members() []Slot { return p.members }
 
+// groups tells engines that process only prompts from others, since their share of the prompts differs.
+const groups = 2
+
+func group(role namer.Role) int {
+	if role == namer.RolePrefill {
+		return 1
+	}
+	return 0
+}
+
 const flowTime = 5.0
 
-func (p *Pool) sent(now namer.Seconds, hosts, class int, tokens float64) {
+func (p *Pool) sent(now namer.Seconds, hosts, group, class int, tokens float64) {
 	keep := math.Exp(-float64(now-p.flowAt) / flowTime)
 	p.flowAt = now
-	for c := range p.flow {
-		p.flow[c] *= keep
-		if c == class {
-			p.flow[c] += tokens
+	p.flow[group][class] += tokens / keep
+	for g := range p.flow {
+		for c := range p.flow[g] {
+			p.flow[g][c] *= keep
+			p.others[g][c] = p.flow[g][c] / flowTime * float64(hosts-1) / float64(max(1, p.groups[g]))
 		}
-		p.others[c] = p.flow[c] / flowTime * float64(hosts-1) / float64(max(1, len(p.members)))
 	}
 }
 
+// lowest returns the least urgent class in use.
 func (p *Pool) lowest() int {
 	for c := Classes - 1; c > 0; c-- {
-		if p.others[c] > 0 || p.flow[c] > 1 {
-			return c
+		for g := range p.flow {
+			if p.flow[g][c] > 1 {
+				return c
+			}
 		}
 	}
 	return 0
--- a/router/router.go
+++ b/router/router.go
@@ -231,8 +231,9 @@
 	}
 	e.backlogAt = now
 	done := elapsed * e.Rates.PrefillRate(e.reported)
+	others := &p.others[group(e.Role)]
 	for c := range e.backlog {
-		e.backlog[c] += p.others[c] * elapsed
+		e.backlog[c] += others[c] * elapsed
 		taken := min(done, e.backlog[c])
 		e.backlog[c] -= taken
 		done -= taken
@@ -255,7 +256,7 @@
 		e.health.probe++
 	}
 	e.note(change{now, tokens, 1})
-	p.sent(now, r.Hosts, min(class, Classes-1), tokens)
+	p.sent(now, r.Hosts, group(e.Role), min(class, Classes-1), tokens)
 }
 
 func (e *endpoint) note(c change) {
