Weigh the configured capacity more in the estimate of the wait

Cause: TestNothingIsRefusedBelowCapacity found a request refused at 45% load: one long prompt held up its lane for some seconds, the measured drain fell to a twentieth and the wait looked too long. Change: the prior counts like 5 s of measurement, and the measured rate is at least a fifth of it. Tests for slots kept free and for moved attempts that fail with these mechanisms off.

--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -192,5 +192,14 @@
 	}
 }
 
-// rate weighs the prior like one second of measurement.
-func (m *meter) rate() float64 { return max((m.prior+m.spent)/(1+m.busy), 0.05*m.prior) }
+const (
+	// priorTime weighs the prior like so many seconds of measurement: a queue that is short for a
+	// moment, behind one long prompt, says little about the capacity.
+	priorTime = 5.0
+	// leastRate bounds the measured rate from below, as a part of the prior.
+	leastRate = 0.2
+)
+
+func (m *meter) rate() float64 {
+	return max((m.prior*priorTime+m.spent)/(priorTime+m.busy), leastRate*m.prior)
+}
--- a/decider/fault_test.go
+++ b/decider/fault_test.go
@@ -49,8 +49,8 @@
 	}
 	w.run(time.Minute)
 	urgent := w.tallies["urgent"]
-	is.True(float64(urgent.served) >= 0.98*float64(urgent.offered)) // a few had started and stay with the engine
-	is.True(late < 30)                                              // of about 300 to each engine
+	is.True(urgent.offered-urgent.served <= 8) // those that had started; 12 when attempts don't move
+	is.True(late < 30)                         // probes, of about 150 to each engine
 }
 
 // Guards against a retry storm: when everything fails, retries stay within the budget.
--- a/decider/flood_test.go
+++ b/decider/flood_test.go
@@ -95,3 +95,25 @@
 	is.Equal(w.tallies["urgent"].refused+w.tallies["free"].refused, 0)
 	is.Equal(w.tallies["free"].served, w.tallies["free"].offered)
 }
+
+// Guards against free work that takes the last slots: where few requests run at once, urgent ones
+// would have to wait for a long answer to end.
+func TestSlotsAreKeptForUrgentWork(t *testing.T) {
+	is := is.New(t)
+	met, offered := 0, 0
+	for seed := range uint64(3) {
+		w := newWorld(seed+1, 6, 8, time.Second)
+		fleet := w.fleet(6)
+		for i := range fleet.Endpoints {
+			fleet.Endpoints[i].Concurrency = 8
+		}
+		for _, c := range w.cores {
+			c.Configure(w.at(), fleet)
+		}
+		w.poisson(0, time.Minute, 5, w.question)
+		w.poisson(0, time.Minute, 60, w.chore)
+		w.run(2 * time.Minute)
+		met, offered = met+w.tallies["urgent"].met, offered+w.tallies["urgent"].offered
+	}
+	is.True(float64(met) >= 0.98*float64(offered)) // 0.954 without slots kept free
+}
