Eject endpoints out of reach at once and use ejected ones only when all are

Cause: in a partition a host reaches 2 of 9 engines, the rule for mostly ejected pools made it use all 9. Change: a failed connection ejects at once; health is ignored only when every member is ejected. The new case of the router test fails with the old rule.

--- a/decider/observe.go
+++ b/decider/observe.go
@@ -167,6 +167,8 @@
 		c.router.Refused(at, s)
 	case classifier.RetryEndpointLeaving:
 		c.router.Leave(s, true) // until the endpoint's next report
+	case classifier.RetryConnectFailed:
+		c.router.Unreachable(at, s)
 	default:
 		c.router.Failed(at, s)
 	}
--- a/router/pick.go
+++ b/router/pick.go
@@ -84,7 +84,7 @@
 	now    namer.Seconds
 	levels []match
 	unseen [groups]float64 // prompt tokens a second of other hosts at a member, up to the query's class
-	forced bool            // health is ignored, because most members are ejected
+	forced bool            // health is ignored, because all members are ejected
 
 	whole, prefill, decode best
 }
@@ -98,7 +98,7 @@
 	}
 	f := search{router: r, pool: p, query: q, now: now, levels: found[:levels]}
 	f.whole.slot, f.prefill.slot, f.decode.slot = None, None, None
-	f.forced = p.mostEjected()
+	f.forced = p.allEjected()
 	for c := 0; c <= min(q.Class, Classes-1); c++ {
 		for g := range p.others {
 			f.unseen[g] += p.others[g][c]
@@ -299,6 +299,7 @@
 	return Choice{Slot: w.slot, Prefill: None, FirstToken: w.first, Uncached: w.uncached, Ahead: w.ahead}, true
 }
 
-// mostEjected reports whether so many members are ejected that using them is better than using
-// none: then the cause is likely not in the endpoints.
-func (p *Pool) mostEjected() bool { return 2*p.ejected > len(p.members) }
+// allEjected reports whether every member is ejected: then the cause is likely not in the endpoints,
+// and using them is better than using none. Fewer are no reason: in a partition most endpoints are
+// out of reach and the rest must carry on alone.
+func (p *Pool) allEjected() bool { return p.ejected == len(p.members) }
--- a/router/router.go
+++ b/router/router.go
@@ -294,6 +294,10 @@
 // Failed takes a failure into the endpoint's health.
 func (r *Router) Failed(now namer.Seconds, s Slot) { r.penalise(now, s, 1) }
 
+// Unreachable takes a failed connection, which ejects the endpoint at once: unlike other failures
+// it is hardly ever due to one request.
+func (r *Router) Unreachable(now namer.Seconds, s Slot) { r.penalise(now, s, ejectAt) }
+
 // Slow takes a first token that came far later than predicted into the endpoint's health.
 func (r *Router) Slow(now namer.Seconds, s Slot) { r.penalise(now, s, slowFailure) }
 
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -151,12 +151,17 @@
 }
 
 // Guards against an ejection of everything, which would turn a fault elsewhere into an outage.
-func TestEndpointsAreUsedWhenMostAreEjected(t *testing.T) {
+func TestEndpointsAreUsedWhenAllAreEjected(t *testing.T) {
 	is := is.New(t)
 	r, p := fleet(3, 1)
-	for _, s := range p.Members() {
+	for _, s := range p.Members()[1:] {
 		r.Reachable(10, s, false)
 	}
+	for range 10 { // a partition: the one endpoint in reach carries on alone
+		choice, ok := r.Pick(10, p, query(100))
+		is.True(ok && choice.Slot == p.Members()[0])
+	}
+	r.Reachable(10, p.Members()[0], false)
 	_, ok := r.Pick(10, p, query(100))
 	is.True(ok)
 }
