Don't take a flood for a shift; shorten the routing path

Cause: in floods the planner followed demand that is refused and took engines from served work; the routing path compared role names and drained unused classes for each candidate. Change: no role changes when even the best split serves less than 85% of the demand. Role group, drain rate and number of classes are kept per endpoint. TestAFloodIsNoShift fails with the bound at 0.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -77,6 +77,9 @@
 	// satisfied is the part of the demand that the present roles must fail to serve before anything
 	// changes: on a steady mix that fits, nothing is changed for a small gain.
 	satisfied = 0.97
+	// flood is the part of the demand that the best split must be able to serve. Far more demand than
+	// that is not a shift of the mix: most of it is refused, and roles that follow it fail the rest.
+	flood = 0.85
 	// headroom is the load above the offered one that roles are planned for.
 	headroom = 1.2
 )
@@ -110,6 +113,10 @@
 		return nil
 	}
 	best := p.best(current, slow.times(headroom))
+	if p.served(best, fast) < flood || p.served(best, slow) < flood {
+		p.wanted = split{}
+		return nil
+	}
 	allowed := max(1, len(v.Engines)/4) - changing
 	chosen := p.choose(now, v, current, best, allowed)
 	if len(chosen) == 0 || !p.pays(v, current, best, fast) || !p.pays(v, current, best, slow) {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -144,3 +144,13 @@
 	}
 	is.True(total <= 2*9)
 }
+
+// Guards against roles that follow a flood, most of which is refused, away from the work that is served.
+func TestAFloodIsNoShift(t *testing.T) {
+	is := is.New(t)
+	p := newPlant(9, 1)
+	p.run(300, 2*10_000, 1000, 2*5000)
+	p.run(300, 30*10_000, 20_000, 2*5000)
+	p.run(300, 2*10_000, 1000, 2*5000)
+	is.Equal(len(p.changes), 0)
+}
--- a/router/pick.go
+++ b/router/pick.go
@@ -169,7 +169,7 @@
 		f.plain(s, e, running)
 	case f.pool.split:
 		f.phases(s, e, running)
-	case e.Role == namer.RoleMixed:
+	case e.mixed:
 		f.mixed(s, e, running)
 	}
 }
@@ -202,14 +202,14 @@
 
 // phases scores a member of a pool in which some engines process only prompts or only generate.
 func (f *search) phases(s Slot, e *endpoint, running float64) {
-	if e.Role == namer.RoleMixed {
+	if e.mixed {
 		f.mixed(s, e, running)
 	}
 	if !f.room(e, running) {
 		return
 	}
 	perToken := e.Rates.Prefill(1, running)
-	if e.Role == namer.RolePrefill {
+	if e.group == prefillGroup {
 		wait, own, uncached, ahead := f.prompt(s, e, perToken)
 		if first := wait + own + e.Rates.Overhead() + 2*e.Distance; f.inTime(e, running, wait, first) {
 			f.prefill.offer(s, float64(first)+f.noise(e, perToken), first, uncached, ahead)
@@ -274,7 +274,7 @@
 // noise grows with the work that other hosts may have sent since the report.
 func (f *search) noise(e *endpoint, perToken namer.Seconds) float64 {
 	age := float64(f.now - e.reportAt)
-	seconds := f.unseen[group(e.Role)] * min(age, flowTime) * float64(perToken)
+	seconds := f.unseen[e.group] * min(age, flowTime) * float64(perToken)
 	return noiseWeight * (0.002 + min(seconds, 1)) * f.router.Random.Float64()
 }
 
--- a/router/pool.go
+++ b/router/pool.go
@@ -57,7 +57,7 @@
 	for _, s := range p.members {
 		p.groups[group(r.endpoints[s].Role)]++
 	}
-	p.split = p.groups[group(namer.RolePrefill)] > 0
+	p.split = p.groups[prefillGroup] > 0
 }
 
 // Members returns the members, nearest first.
@@ -66,9 +66,12 @@
 // groups tells engines that process only prompts from others, since their share of the prompts differs.
 const groups = 2
 
+// prefillGroup is the group of engines that process only prompts.
+const prefillGroup = 1
+
 func group(role namer.Role) int {
 	if role == namer.RolePrefill {
-		return 1
+		return prefillGroup
 	}
 	return 0
 }
--- a/router/router.go
+++ b/router/router.go
@@ -46,6 +46,10 @@
 	heardAt  namer.Seconds // last first token or end of an own attempt
 
 	last      Load
+	group     int              // of the role
+	mixed     bool             // the role serves both phases
+	drain     float64          // prompt tokens a second that it works off
+	classes   int              // classes in use; the routing path skips the rest
 	backlog   [Classes]float64 // prompt tokens that wait for prefill, at backlogAt
 	backlogAt namer.Seconds
 }
@@ -85,10 +89,13 @@
 		view.Role = e.Role // the endpoint's own report is newer than the configuration
 		view.Leaving = view.Leaving || (e.Leaving && e.reportAt > 0 && e.used)
 		e.Endpoint = view
+		e.setDrain()
 		e.limit.SetCeiling(view.Ceiling)
 		return s
 	}
-	fresh := endpoint{Endpoint: view, used: true, limit: limiter.New(view.StartLimit, view.Ceiling), reportAt: now, backlogAt: now}
+	fresh := endpoint{Endpoint: view, used: true, limit: limiter.New(view.StartLimit, view.Ceiling), reportAt: now, backlogAt: now, classes: 1}
+	fresh.setRole(view.Role)
+	fresh.setDrain()
 	var s Slot
 	if n := len(r.free); n > 0 {
 		s, r.free = r.free[n-1], r.free[:n-1]
@@ -191,6 +198,7 @@
 	}
 	r.advance(now, e, p)
 	known := e.backlog
+	defer e.setDrain()
 	e.last, e.reportAt, e.reported, e.since = load, load.At, load.Requests, 0
 	total := load.Prefill - float64(now-load.At)*e.Rates.PrefillRate(load.Requests)
 	kept := e.recent[:0]
@@ -210,10 +218,12 @@
 		e.backlog[c] = min(known[c], total)
 		total -= e.backlog[c]
 	}
-	e.backlog[p.lowest()] += total
+	lowest := p.lowest()
+	e.classes = max(e.classes, lowest+1)
+	e.backlog[lowest] += total
 	changed := (load.Role != "" && load.Role != e.Role) || load.Leaving != e.Leaving
 	if load.Role != "" {
-		e.Role = load.Role
+		e.setRole(load.Role)
 	}
 	e.Leaving = load.Leaving
 	return changed
@@ -230,16 +240,28 @@
 		return
 	}
 	e.backlogAt = now
-	done := elapsed * e.Rates.PrefillRate(e.reported)
-	others := &p.others[group(e.Role)]
-	for c := range e.backlog {
-		e.backlog[c] += others[c] * elapsed
-		taken := min(done, e.backlog[c])
-		e.backlog[c] -= taken
-		done -= taken
+	done := elapsed * e.drain
+	others := &p.others[e.group]
+	for c := range e.classes {
+		left := e.backlog[c] + others[c]*elapsed
+		if left > done {
+			e.backlog[c] = left - done
+			done = 0
+			continue
+		}
+		e.backlog[c] = 0
+		done -= left
 	}
 }
 
+// setRole keeps what the routing path needs of the role.
+func (e *endpoint) setRole(role namer.Role) {
+	e.Role, e.group, e.mixed = role, group(role), role == namer.RoleMixed
+}
+
+// setDrain keeps the prefill rate, which changes slowly, for the routing path.
+func (e *endpoint) setDrain() { e.drain = e.Rates.PrefillRate(e.reported) }
+
 // Dispatched accounts for an attempt that is sent to an endpoint.
 func (r *Router) Dispatched(now namer.Seconds, s Slot, p *Pool, class int, tokens float64) {
 	e := &r.endpoints[s]
@@ -247,6 +269,7 @@
 		asserter.Check(false, "no dispatch to a leaving endpoint", "endpoint %s", e.Name)
 	}
 	r.advance(now, e, p)
+	e.classes = max(e.classes, min(class, Classes-1)+1)
 	e.backlog[min(class, Classes-1)] += tokens
 	e.own++
 	if class == 0 {
@@ -256,7 +279,7 @@
 		e.health.probe++
 	}
 	e.note(change{now, tokens, 1})
-	p.sent(now, r.Hosts, group(e.Role), min(class, Classes-1), tokens)
+	p.sent(now, r.Hosts, e.group, min(class, Classes-1), tokens)
 }
 
 func (e *endpoint) note(c change) {
