--- a/router/pick.go
+++ b/router/pick.go
@@ -34,6 +34,14 @@
 	Ahead      float64 // prompt tokens that are processed before
 }
 
+// Processor returns the engine that processes the prompt.
+func (c Choice) Processor() Slot {
+	if c.Prefill != None {
+		return c.Prefill
+	}
+	return c.Slot
+}
+
 // Weights of the score, in seconds a second. See docs/measurements-decisions.md for the rounds.
 const (
 	// decodeWeight prices the time to generate the output, which balances the batch sizes.
@@ -75,8 +83,8 @@
 	query  *Query
 	now    namer.Seconds
 	levels []match
-	unseen float64 // prompt tokens a second of other hosts at a member, up to the query's class
-	forced bool    // health is ignored, because most members are ejected
+	unseen [groups]float64 // prompt tokens a second of other hosts at a member, up to the query's class
+	forced bool            // health is ignored, because all members are ejected
 
 	whole, prefill, decode best
 }
@@ -90,9 +98,11 @@
 	}
 	f := search{router: r, pool: p, query: q, now: now, levels: found[:levels]}
 	f.whole.slot, f.prefill.slot, f.decode.slot = None, None, None
-	f.forced = p.mostEjected()
+	f.forced = p.allEjected()
 	for c := 0; c <= min(q.Class, Classes-1); c++ {
-		f.unseen += p.others[c]
+		for g := range p.others {
+			f.unseen[g] += p.others[g][c]
+		}
 	}
 	if len(p.members) <= scanAll {
 		for _, s := range p.members {
@@ -159,7 +169,7 @@
 		f.plain(s, e, running)
 	case f.pool.split:
 		f.phases(s, e, running)
-	case e.Role == namer.RoleMixed:
+	case e.mixed:
 		f.mixed(s, e, running)
 	}
 }
@@ -182,7 +192,7 @@
 	perToken := e.Rates.Prefill(1, running)
 	wait, own, uncached, ahead := f.prompt(s, e, perToken)
 	pace := float64(e.Rates.Token(running + 1))
-	first := wait + own + 2*e.Distance + namer.Seconds(pace)
+	first := wait + own + e.Rates.Overhead() + 2*e.Distance + namer.Seconds(pace)
 	if !f.inTime(e, running, wait, first) {
 		return
 	}
@@ -192,16 +202,16 @@
 
 // phases scores a member of a pool in which some engines process only prompts or only generate.
 func (f *search) phases(s Slot, e *endpoint, running float64) {
-	if e.Role == namer.RoleMixed {
+	if e.mixed {
 		f.mixed(s, e, running)
 	}
 	if !f.room(e, running) {
 		return
 	}
 	perToken := e.Rates.Prefill(1, running)
-	if e.Role == namer.RolePrefill {
+	if e.group == prefillGroup {
 		wait, own, uncached, ahead := f.prompt(s, e, perToken)
-		if first := wait + own + 2*e.Distance; f.inTime(e, running, wait, first) {
+		if first := wait + own + e.Rates.Overhead() + 2*e.Distance; f.inTime(e, running, wait, first) {
 			f.prefill.offer(s, float64(first)+f.noise(e, perToken), first, uncached, ahead)
 		}
 		return
@@ -264,7 +274,7 @@
 // noise grows with the work that other hosts may have sent since the report.
 func (f *search) noise(e *endpoint, perToken namer.Seconds) float64 {
 	age := float64(f.now - e.reportAt)
-	seconds := f.unseen * min(age, flowTime) * float64(perToken)
+	seconds := f.unseen[e.group] * min(age, flowTime) * float64(perToken)
 	return noiseWeight * (0.002 + min(seconds, 1)) * f.router.Random.Float64()
 }
 
@@ -289,6 +299,7 @@
 	return Choice{Slot: w.slot, Prefill: None, FirstToken: w.first, Uncached: w.uncached, Ahead: w.ahead}, true
 }
 
-// mostEjected reports whether so many members are ejected that using them is better than using
-// none: then the cause is likely not in the endpoints.
-func (p *Pool) mostEjected() bool { return 2*p.ejected > len(p.members) }
+// allEjected reports whether every member is ejected: then the cause is likely not in the endpoints,
+// and using them is better than using none. Fewer are no reason: in a partition most endpoints are
+// out of reach and the rest must carry on alone.
+func (p *Pool) allEjected() bool { return p.ejected == len(p.members) }
