Remove the unused reading of cache events

Cause: no component reads an engine's cache events, so Client.Cache was dead code; reading them from every daemon would not fit the byte budget either. Change: the method is gone; the fake still publishes the events. Before: an untested method. Conclusion: the reading comes with the component that spreads the events.

--- a/generator/cache.go
+++ b/generator/cache.go
@@ -1,13 +1,6 @@
 package generator
 
-import (
-	"context"
-	"strconv"
-
-	"github.com/pkg/errors"
-
-	"apricotspool/namer"
-)
+import "apricotspool/namer"
 
 // CacheEvent is one change of an engine's prefix cache.
 type CacheEvent struct {
@@ -21,10 +14,3 @@
 	Incarnation namer.Incarnation `json:"incarnation"`
 	Events      []CacheEvent      `json:"events"`
 }
-
-// Cache asks for the cache events after a number.
-func (c *Client) Cache(ctx context.Context, to Target, after uint64) (CacheReport, error) {
-	var report CacheReport
-	err := c.get(ctx, to, "/cache?after="+strconv.FormatUint(after, 10), &report)
-	return report, errors.Wrapf(err, "cache of endpoint %q", to.Endpoint)
-}
