Reconcile the models of engines with the configuration

Cause: operators had no way to load a model; an engine without a configured model got requests that it refused. Change: the lease holder compares engines with the configuration and has the director load or unload; an engine that lacks a configured model gets no new work until it is loaded; load reports list the models. Before: models were only routed by configuration. After: a patch of an endpoint's models leads to commands. Conclusion: adapters and versions of loaded models are not compared, since engines don't report them.

--- a/assembler/control.go
+++ b/assembler/control.go
@@ -45,12 +45,16 @@
 		Changing: func(name namer.Endpoint) bool { return p.gossiper.View().Changing(name) }, Log: d.Log,
 	}
 	performer := &coordinator.Performer{Store: p.store, Lease: here, Director: p.director, DataCentre: d.Settings.DataCentre, Log: d.Log}
+	reconciler := &coordinator.Reconciler{
+		Lease: here, Director: p.director, Engine: p.engine, Snapshot: p.distributor.Snapshot, DataCentre: d.Settings.DataCentre, Log: d.Log,
+	}
 	// A holder releases its bindings before its lease, so the director ends before the leaser: see sequence.
 	p.children = append(p.children,
 		supervisor.Child{Name: "claimer", Part: p.claimer},
 		supervisor.Child{Name: "claim-cleaner", Part: &claimer.Cleaner{Store: p.store, Lease: housekeeping, Log: d.Log}},
 		supervisor.Child{Name: "proposer", Part: proposer},
 		supervisor.Child{Name: "performer", Part: performer},
+		supervisor.Child{Name: "reconciler", Part: reconciler},
 		supervisor.Child{Name: "director", Part: sequence{first: p.director, then: here}},
 		supervisor.Child{Name: "housekeeping-lease", Part: housekeeping},
 	)
--- a/assembler/fleet.go
+++ b/assembler/fleet.go
@@ -12,7 +12,6 @@
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
 	"apricotspool/distributor"
-	"apricotspool/generator"
 	"apricotspool/gossiper"
 	"apricotspool/namer"
 )
@@ -151,21 +150,3 @@
 	}
 	return view
 }
-
-// poller asks engines for their load on behalf of the membership.
-type poller struct {
-	engine generator.Engine
-}
-
-// Poll asks one endpoint. A plain service has no load report; the core learns its load from the
-// requests that it answers.
-func (p *poller) Poll(ctx context.Context, d gossiper.Duty) (gossiper.Load, error) {
-	if !d.Engine {
-		return gossiper.Load{}, errors.Errorf("endpoint %q is a plain service and reports no load", d.Endpoint)
-	}
-	report, err := p.engine.Load(ctx, generator.Target{Endpoint: d.Endpoint, Address: d.Address})
-	if err != nil {
-		return gossiper.Load{}, err
-	}
-	return gossiper.LoadOf(report, time.Now()), nil
-}
--- a/assembler/parts.go
+++ b/assembler/parts.go
@@ -112,7 +112,7 @@
 	}
 	p.gossiper = &gossiper.Gossiper{
 		Self: self, Incarnation: p.process.Incarnation, Seeds: seeds, Transport: &gossiper.Client{Messenger: peers},
-		Configuration: p.distributor, Poller: &poller{engine: p.engine}, Newer: p.distributor.Newer,
+		Configuration: p.distributor, Poller: &poller{engine: p.engine, snapshot: p.distributor.Snapshot}, Newer: p.distributor.Newer,
 		Random: p.seed(), Metrics: p.metrics, Log: d.Log,
 	}
 	if d.Settings.Platform.HostList.IsValid() {
--- a/generator/engine.go
+++ b/generator/engine.go
@@ -82,6 +82,8 @@
 	KVUsed         float64           `json:"kv-used"`         // part of the KV memory in use, 0 to 1
 	Role           namer.Role        `json:"role"`
 	Leaving        bool              `json:"leaving"`
+	// Models are those that the engine has loaded; empty when it doesn't say.
+	Models []namer.Model `json:"models,omitempty"`
 }
 
 // EngineState is what an engine says about itself.
--- a/imitator/enginecontrol.go
+++ b/imitator/enginecontrol.go
@@ -50,7 +50,7 @@
 	if after > 0 {
 		report = e.loads[after-1]
 	}
-	report.At = then
+	report.At, report.Models = then, slices.Clone(e.Models)
 	return report, nil
 }
 
--- a/imitator/service.go
+++ b/imitator/service.go
@@ -14,6 +14,7 @@
 //
 //	POST /orders...     executes an order and counts it by its Idempotency-Key
 //	GET /catalogue/...  looks an item up
+//	GET /executed/KEY   tells how often the order with a key was executed
 //	.../echo...         answers with the call and streams its body back
 type Service struct {
 	Delay time.Duration // of orders and lookups
@@ -49,6 +50,8 @@
 	case strings.HasPrefix(r.URL.Path, "/catalogue/") && r.Method == http.MethodGet:
 		time.Sleep(s.Delay)
 		fmt.Fprintf(w, `{"item":%q,"length":%d}`, strings.TrimPrefix(r.URL.Path, "/catalogue/"), len(r.URL.Path))
+	case strings.HasPrefix(r.URL.Path, "/executed/") && r.Method == http.MethodGet:
+		fmt.Fprint(w, s.Executed(strings.TrimPrefix(r.URL.Path, "/executed/")))
 	default:
 		http.NotFound(w, r)
 	}
