--- a/server/completion.go
+++ b/server/completion.go
@@ -1,168 +1,196 @@
 package server
 
 import (
-	"net/http"
-	"time"
+	"bytes"
+	"strconv"
+	"strings"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/pkg/errors"
 
-	"apricotspool/classifier"
-	"apricotspool/configurer"
 	"apricotspool/decider"
 	"apricotspool/generator"
 	"apricotspool/namer"
 )
 
-func (s *Server) chat(x *exchange)        { s.complete(x, generator.ChatCompletions) }
-func (s *Server) completions(x *exchange) { s.complete(x, generator.Completions) }
+// bytesPerToken is the usual estimate for English text; the estimator corrects what follows from it.
+const bytesPerToken = 4
 
-// complete serves one completion request from its parsing to its last byte.
-func (s *Server) complete(x *exchange, operation generator.Operation) {
-	body, err := readBody(x.w, x.r, configurer.DefaultMaxBody)
-	if err != nil {
-		s.refuse(x.w, refusal{Outcome: classifier.TooLarge, Message: err.Error()})
-		return
+// completion is a decoded body of the OpenAI-compatible API, as far as the daemon needs it.
+type completion struct {
+	Service   namer.Service // empty unless the model is named as "service/model"
+	Model     namer.Model
+	Stream    bool
+	Usage     bool // the caller wants usage in the stream
+	MaxTokens namer.Tokens
+	Prompt    namer.Tokens
+	Prefix    []uint64
+	Body      []byte // the body for the engine, which always streams
+}
+
+// completionFields are the members that the daemon reads; all others pass through unread.
+type completionFields struct {
+	model, prompt, messages, options jsontext.Value
+}
+
+// parseCompletion checks and decodes a body. It accepts unknown members and refuses doubled ones.
+func parseCompletion(operation generator.Operation, body []byte) (*completion, error) {
+	c := &completion{Body: make([]byte, 0, len(body)+64)}
+	var fields completionFields
+	if err := c.members(body, &fields); err != nil {
+		return nil, err
 	}
-	parsed, err := parseCompletion(body)
-	if err != nil {
-		s.refuse(x.w, refusal{Outcome: classifier.BadRequest, Message: err.Error()})
-		return
+	if len(fields.model) == 0 {
+		return nil, errors.New("/model: a model is required")
 	}
-	service, model, ok := x.resolve(parsed.Model)
-	if !ok {
-		s.refuse(x.w, refusal{Outcome: classifier.NotFound, Message: "model " + parsed.Model + " does not exist for this caller, or several services offer it; see GET /v1/models"})
-		return
+	prompt, name := fields.messages, "/messages"
+	if operation == generator.Completions {
+		prompt, name = fields.prompt, "/prompt"
 	}
-	rank, err := x.rank(service)
-	if err != nil {
-		s.refuse(x.w, refusal{Outcome: classifier.Forbidden, Message: err.Error()})
-		return
+	if len(prompt) == 0 {
+		return nil, errors.Errorf("%s: a prompt is required", name)
 	}
-	request := decider.Request{
-		ID: namer.NewStreamID(), Caller: x.name, Service: service, Model: model, Rank: rank, Idempotent: true,
-		PromptTokens: parsed.promptTokens(), MaxTokens: parsed.maxTokens(), Prefix: parsed.prefixHashes(),
-		Deadline: time.Now().Add(x.snapshot.Document().Services[service].Deadline.Std()),
+	if operation == generator.ChatCompletions && prompt.Kind() != '[' {
+		return nil, errors.New("/messages: expected an array")
 	}
-	x.w.Header().Set(HeaderRequestID, string(request.ID))
-	call := generator.Call{Stream: request.ID, Operation: operation, Model: model, Body: body}
-	s.relay(x, request, call, newWriter(x.w, parsed, operation))
+	if err := c.options(fields.options); err != nil {
+		return nil, err
+	}
+	c.Prompt = namer.Tokens(len(prompt)/bytesPerToken + 1)
+	c.Prefix = prefixHashes(c.Model, prompt)
+	return c, nil
 }
 
-// rank returns the rank of the request: the caller's own, or a lower one that the request asks for.
-func (x *exchange) rank(service namer.Service) (namer.Rank, error) {
-	asked := namer.Rank(x.r.Header.Get(HeaderRank))
-	if asked == "" || asked == x.caller.Rank {
-		return x.caller.Rank, nil
+// members reads the top-level object and copies it to the engine's body without the members that
+// the daemon sets itself.
+func (c *completion) members(body []byte, fields *completionFields) error {
+	in := jsontext.NewDecoder(bytes.NewReader(body))
+	if token, err := in.ReadToken(); err != nil || token.Kind() != '{' {
+		return errors.New("body: expected a JSON object")
 	}
-	ranks := x.snapshot.Document().Services[service].Ranks
-	lower, known := ranks[asked]
-	if !known {
-		return "", errors.Errorf("service %q has no rank %q", service, asked)
+	c.Body = append(c.Body, '{')
+	for in.PeekKind() != '}' {
+		token, err := in.ReadToken()
+		if err != nil {
+			return errors.Wrap(err, "body")
+		}
+		name := token.String()
+		value, err := in.ReadValue()
+		if err != nil {
+			return errors.Wrap(err, "body")
+		}
+		if err := c.member(name, value.Clone(), fields); err != nil {
+			return err
+		}
 	}
-	if lower.Order < ranks[x.caller.Rank].Order {
-		return "", errors.Errorf("rank %q is above the caller's rank %q", asked, x.caller.Rank)
+	if _, err := in.ReadToken(); err != nil {
+		return errors.Wrap(err, "body")
 	}
-	return asked, nil
+	if len(bytes.TrimSpace(body[in.InputOffset():])) > 0 {
+		return errors.New("body: data follows the JSON object")
+	}
+	return nil
 }
 
-// relay asks for decisions and carries them out until the request has its final answer.
-func (s *Server) relay(x *exchange, request decider.Request, call generator.Call, out answerWriter) {
-	ctx := x.r.Context()
-	ticket, err := s.Dispatcher.Submit(ctx, request)
-	if err != nil {
-		s.refuse(x.w, refusal{Outcome: classifier.Draining, Message: "the daemon is shutting down"})
-		return
-	}
-	defer ticket.Close()
-	for {
-		select {
-		case <-ctx.Done():
-			s.Dispatcher.Report(decider.Event{Kind: decider.EventCancelled, Request: request.ID})
-			s.Metrics.Outcome(classifier.CallerGone)
-			return
-		case action := <-ticket.Actions:
-			switch action.Kind {
-			case decider.ActionRefuse:
-				s.giveUp(x.w, action, out)
-				return
-			case decider.ActionDispatch:
-				if action.Retry != "" {
-					s.Metrics.Retry(action.Retry)
-				}
-				if s.attempt(x, action, request, &call, out) {
-					return
-				}
-			}
+func (c *completion) member(name string, value jsontext.Value, fields *completionFields) error {
+	var err error
+	switch name {
+	case "model":
+		fields.model = value
+		return c.setModel(value)
+	case "prompt":
+		fields.prompt = value
+	case "messages":
+		fields.messages = value
+	case "stream_options":
+		fields.options = value
+		return nil
+	case "stream":
+		if value.Kind() != 'n' {
+			err = json.Unmarshal(value, &c.Stream)
+		}
+		return errors.Wrap(plain(err), "/stream: expected true or false")
+	case "max_tokens", "max_completion_tokens":
+		if value.Kind() != 'n' {
+			err = json.Unmarshal(value, &c.MaxTokens)
+		}
+		if err != nil || c.MaxTokens < 0 {
+			return errors.Errorf("/%s: expected a whole number that is not negative", name)
 		}
+	case "n", "best_of":
+		if string(value) != "1" && value.Kind() != 'n' {
+			return errors.Errorf("/%s: only 1 is allowed, because a stream carries one answer", name)
+		}
+	case generator.ContinuationField:
+		return errors.Errorf("/%s: this member is reserved", name)
 	}
+	c.Body = appendMember(c.Body, name, value)
+	return nil
 }
 
-// giveUp sends the final answer of a request that is not served.
-func (s *Server) giveUp(w http.ResponseWriter, action decider.Action, out answerWriter) {
-	f := refusal{Outcome: action.Outcome, Message: action.Outcome.Class().Help, RetryAfter: action.RetryAfter}
-	if out.started() {
-		s.Metrics.Outcome(f.Outcome)
-		out.fail(f)
-		return
-	}
-	s.refuse(w, f)
+// setModel splits "service/model"; the engine knows only the model.
+func (c *completion) setModel(value jsontext.Value) error {
+	var name string
+	if json.Unmarshal(value, &name) != nil {
+		return errors.New("/model: expected the name of a model")
+	}
+	service, model, split := strings.Cut(name, "/")
+	if !split {
+		service, model = "", name
+	}
+	if split && c.Service.UnmarshalText([]byte(service)) != nil || c.Model.UnmarshalText([]byte(model)) != nil {
+		return errors.New("/model: expected the name of a model, or of a service and a model with a slash between them")
+	}
+	c.Body = append(appendMember(c.Body, "model", nil), strconv.Quote(model)...)
+	return nil
 }
 
-// attempt sends the request to one endpoint and reports how it went. It returns true when the
-// request has its whole answer.
-func (s *Server) attempt(x *exchange, action decider.Action, request decider.Request, call *generator.Call, out answerWriter) bool {
-	call.Attempt, call.Priority = action.Attempt, action.Priority
-	call.From, call.Continuation = out.delivered()
-	failed := decider.Event{Kind: decider.EventFailed, Request: request.ID, Attempt: action.Attempt, Endpoint: action.Endpoint}
-	endpoint, ok := x.snapshot.Document().Endpoints[action.Endpoint]
-	if !ok {
-		failed.Reason, failed.NotRun = classifier.RetryEndpointLeaving, true
-		s.Dispatcher.Report(failed)
-		return false
-	}
-	target := generator.Target{Endpoint: action.Endpoint, Address: endpoint.Address}
-	stream, err := s.Engine.Generate(x.r.Context(), target, *call)
+func plain(err error) error {
 	if err != nil {
-		failed.Reason, failed.NotRun = failureOf(err)
-		s.Log.Warn().Err(err).Str("request", string(request.ID)).Msg("attempt-failed")
-		s.Dispatcher.Report(failed)
-		return false
-	}
-	defer stream.Close()
-	accepted := time.Now()
-	for first := true; ; first = false {
-		chunk, err := stream.Next()
-		if err != nil {
-			failed.Reason, failed.OutputTokens = classifier.RetryStreamBroken, out.tokens()
-			s.Log.Warn().Err(err).Str("request", string(request.ID)).Msg("attempt-failed")
-			s.Dispatcher.Report(failed)
-			return false
-		}
-		if chunk.Done {
-			break
-		}
-		if first {
-			s.Metrics.FirstToken(request.Rank, time.Since(accepted))
-			s.Dispatcher.Report(decider.Event{Kind: decider.EventStarted, Request: request.ID, Attempt: action.Attempt, Endpoint: action.Endpoint})
-		}
-		if err := out.write(chunk); err != nil {
-			s.Dispatcher.Report(decider.Event{Kind: decider.EventCancelled, Request: request.ID})
-			return true
+		return errors.New("value is not valid")
+	}
+	return nil
+}
+
+func appendMember(to []byte, name string, value []byte) []byte {
+	if len(to) > 1 {
+		to = append(to, ',')
+	}
+	to, _ = jsontext.AppendQuote(to, name) // the decoder has checked the name
+	return append(append(to, ':'), value...)
+}
+
+// options completes the engine's body. A caller that does not stream gets the usage in any case.
+func (c *completion) options(value jsontext.Value) error {
+	var options struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	if len(value) > 0 && value.Kind() != 'n' {
+		if err := json.Unmarshal(value, &options); err != nil {
+			return errors.New("/stream_options: expected an object with include_usage")
 		}
 	}
-	out.finish()
-	s.Metrics.Outcome(classifier.Served)
-	s.Dispatcher.Report(decider.Event{Kind: decider.EventFinished, Request: request.ID, Attempt: action.Attempt, Endpoint: action.Endpoint, OutputTokens: out.tokens()})
-	return true
+	c.Usage = options.IncludeUsage
+	c.Body = append(c.Body, `,"stream":true`...)
+	if c.Usage || !c.Stream {
+		c.Body = append(c.Body, `,"stream_options":{"include_usage":true}`...)
+	}
+	c.Body = append(c.Body, '}')
+	return nil
 }
 
-// failureOf classes an error of Engine.Generate for the decision core.
-func failureOf(err error) (reason classifier.RetryReason, notRun bool) {
-	switch {
-	case errors.Is(err, generator.ErrNotStarted):
-		return classifier.RetryConnectFailed, true
-	case errors.Is(err, generator.ErrRefused), errors.Is(err, generator.ErrRejected):
-		return classifier.RetryEndpointRefused, true
-	}
-	return classifier.RetryStreamBroken, false
+// prefixHashes hashes the leading blocks of a prompt's JSON text. A conversation that goes on shares
+// the text of its earlier turns, so equal texts stand for equal tokens.
+func prefixHashes(model namer.Model, prompt []byte) []uint64 {
+	const block = int(decider.PrefixBlock) * bytesPerToken
+	digest := xxhash.New()
+	digest.WriteString(string(model) + "\n")
+	hashes := make([]uint64, 0, len(prompt)/block)
+	for ; len(prompt) >= block; prompt = prompt[block:] {
+		digest.Write(prompt[:block])
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
 }
