--- a/gossiper/notice.go
+++ b/gossiper/notice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -28,21 +29,23 @@
 		leaving = 1
 	}
 	raw := []byte{byte(n.Subject.Kind), byte(n.Subject.Source), leaving}
-	for i := range 8 {
-		raw = append(raw, byte(n.Stamp>>(8*i)))
-	}
+	raw = binary.LittleEndian.AppendUint64(raw, n.Stamp)
+	raw = binary.LittleEndian.AppendUint64(raw, uint64(n.Fencing))
 	h.Write(raw)
 	h.WriteString(n.Subject.Name)
 	return h.Sum64()
 }
 
 func (n Notice) valid() bool {
-	return n.Subject.Kind <= KindHost && n.Subject.Source <= SourceHostList && n.Subject.Name != "" && len(n.Subject.Name) <= namer.MaxNameLength
+	return n.Subject.Kind <= KindHost && n.Subject.Source <= SourceChange && n.Subject.Name != "" && len(n.Subject.Name) <= namer.MaxNameLength
 }
 
-// newer reports whether n replaces other. Of two notices with one stamp the one that says "leaving"
+// newer reports whether n replaces other. A former lease holder can't clear its successor's mark. Of two notices with one stamp the one that says "leaving"
 // stands, since new work for a leaving endpoint is the greater harm.
 func (n Notice) newer(other Notice) bool {
+	if n.Fencing != other.Fencing {
+		return n.Fencing > other.Fencing
+	}
 	return n.Stamp > other.Stamp || (n.Stamp == other.Stamp && n.Leaving && !other.Leaving)
 }
 
@@ -80,7 +83,8 @@
 
 func (t *Table) expired(now time.Time, n Notice) bool {
 	_, listed := t.places.all[namer.Endpoint(n.Subject.Name)]
-	if n.Leaving && n.Subject.Kind == KindEndpoint && listed {
+	// A planned change ends within noticeExpiry; the mark of a process that ended meanwhile must not stay.
+	if n.Leaving && n.Subject.Kind == KindEndpoint && listed && n.Subject.Source != SourceChange {
 		return false
 	}
 	return now.Sub(time.UnixMicro(int64(n.Stamp))) > noticeExpiry
@@ -109,10 +113,10 @@
 
 // endpointLeaves reports whether a notice says that an endpoint leaves.
 func (t *Table) endpointLeaves(name namer.Endpoint) bool {
-	subject := Subject{Kind: KindEndpoint, Name: string(name), Source: SourceState}
-	if t.notices[subject].Leaving {
-		return true
+	for _, source := range []Source{SourceState, SourceHostList, SourceChange} {
+		if t.notices[Subject{Kind: KindEndpoint, Name: string(name), Source: source}].Leaving {
+			return true
+		}
 	}
-	subject.Source = SourceHostList
-	return t.notices[subject].Leaving
+	return false
 }
