director: Run a role change against the shared fake engine

Cause: the director's tests used only the engine fake of their package. Change: one test changes the role of imitator.Engine, with and without fencing numbers. Before and after: no such test; it passes. The engine is idle in it, so it says nothing about streams. Conclusion: both fakes agree on drain, role and resume.

--- a/director/fault_test.go
+++ b/director/fault_test.go
@@ -305,3 +305,25 @@
 		is.True(marked)
 	})
 }
+
+// Guards against a director that fits only the fake of this package: an idle shared fake engine
+// changes its role by the same three commands.
+func TestSharedFakeEngine(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		w := newWorld(fencing)
+		shared := &imitator.Engine{ChecksFencing: fencing, RoleChange: 4 * time.Second}
+		w.prepare = func(p *process) { p.Director.Engine = shared }
+		run(t, w, func(ctx context.Context, is *is.I, p *process) {
+			is.Equal(p.apply(role("e0")), []director.Outcome{director.Done})
+			state, err := shared.State(ctx, generator.Target{})
+			is.NoErr(err)
+			is.Equal(state.Role, namer.RoleDecode)
+			is.True(!state.Draining)
+			var kinds []generator.CommandKind
+			for _, c := range shared.Commands() {
+				kinds = append(kinds, c.Kind)
+			}
+			is.Equal(kinds, []generator.CommandKind{generator.CommandDrain, generator.CommandRole, generator.CommandResume})
+		})
+	}
+}
