--- a/router/pick.go
+++ b/router/pick.go
@@ -104,6 +104,7 @@
 			f.unseen[g] += p.others[g][c]
 		}
 	}
+	mark(r.depth, f.levels)
 	if len(p.members) <= scanAll {
 		for _, s := range p.members {
 			f.consider(s)
@@ -111,6 +112,7 @@
 	} else {
 		f.sample()
 	}
+	unmark(r.depth, f.levels)
 	return f.choose()
 }
 
@@ -251,8 +253,7 @@
 	for c := 0; c <= class; c++ {
 		ahead += e.backlog[c]
 	}
-	uncached = f.query.Prompt - float64(cachedBy(s, f.levels)*BlockTokens)
-	uncached = max(1, uncached)
+	uncached = max(1, f.query.Prompt-float64(f.router.depth[s])*BlockTokens)
 	return namer.Seconds(ahead) * perToken, namer.Seconds(uncached) * perToken, uncached, ahead
 }
 
--- a/router/prefix.go
+++ b/router/prefix.go
@@ -167,12 +167,20 @@
 	return match{low, at}
 }
 
-// cachedBy returns how many leading blocks the endpoint holds.
-func cachedBy(s Slot, levels []match) int {
+// mark notes for every holder how many leading blocks it holds; the deepest level comes last.
+func mark(depth []int32, levels []match) {
+	for i := len(levels) - 1; i >= 0; i-- {
+		for _, h := range levels[i].block.holders[:levels[i].block.n] {
+			depth[h] = int32(levels[i].depth)
+		}
+	}
+}
+
+// unmark takes the notes away.
+func unmark(depth []int32, levels []match) {
 	for _, m := range levels {
-		if m.block.held(s) {
-			return m.depth
+		for _, h := range m.block.holders[:m.block.n] {
+			depth[h] = 0
 		}
 	}
-	return 0
 }
--- a/router/router.go
+++ b/router/router.go
@@ -74,6 +74,7 @@
 	slots     map[namer.Endpoint]Slot
 	free      []Slot
 	prefixes  prefixes
+	depth     []int32 // by slot: cached blocks of the current query's prompt; 0 between queries
 }
 
 // Put adds an endpoint or changes its settings; what has been learned about it stays.
@@ -103,6 +104,7 @@
 	} else {
 		s = Slot(len(r.endpoints))
 		r.endpoints = append(r.endpoints, fresh)
+		r.depth = append(r.depth, 0)
 	}
 	r.slots[view.Name] = s
 	r.prefixes.grow(len(r.endpoints))
