--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -154,3 +154,28 @@
 	p.run(300, 2*10_000, 1000, 2*5000)
 	is.Equal(len(p.changes), 0)
 }
+
+// Guards against changes that don't pay back within the horizon, and against changes for a small gain.
+func TestChangesNeedALossAndAGain(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		horizon namer.Seconds
+		prompt  float64 // tokens a second; nine mixed engines serve 56,160
+		want    bool
+	}{
+		{"a loss that changes make good", 120, 70_000, true},
+		{"too short to pay back", 5, 70_000, false},
+		{"a loss of two per cent", 1e6, 57_100, false},
+		{"a loss of five per cent over a long time", 1e6, 59_000, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPlant(9, 1)
+			p.planner.Horizon = c.horizon
+			changes := 0
+			for now := namer.Seconds(0); now < 60; now += period {
+				changes += len(p.planner.Plan(now, planner.View{Engines: p.engines, Prompt: c.prompt}))
+			}
+			is.New(t).Equal(changes > 0, c.want)
+		})
+	}
+}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -154,14 +154,15 @@
 func TestEndpointsAreUsedWhenAllAreEjected(t *testing.T) {
 	is := is.New(t)
 	r, p := fleet(3, 1)
-	for _, s := range p.Members()[1:] {
-		r.Reachable(10, s, false)
+	for _, s := range p.Members()[:2] {
+		r.Unreachable(10, s)
+		is.True(r.Ejected(s)) // after one failed connection
 	}
-	for range 10 { // a partition: the one endpoint in reach carries on alone
+	for range 10 { // a partition: the one endpoint in reach, the least attractive, carries on alone
 		choice, ok := r.Pick(10, p, query(100))
-		is.True(ok && choice.Slot == p.Members()[0])
+		is.True(ok && choice.Slot == p.Members()[2])
 	}
-	r.Reachable(10, p.Members()[0], false)
+	r.Reachable(10, p.Members()[2], false)
 	_, ok := r.Pick(10, p, query(100))
 	is.True(ok)
 }
