End an endpoint's leaving when configuration and endpoint say so

Cause: an endpoint drained and resumed by configuration stayed out of use until its next report, and one without reports for ever; a role from the configuration was ignored. Change: the router keeps both statements apart and forgets the endpoint's own after 30 s without a report.

--- a/decider/core.go
+++ b/decider/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"apricotspool/asserter"
@@ -154,7 +153,7 @@
 	}
 	load := router.Load{
 		At: min(c.seconds(e.Load.At), at), Requests: float64(e.Load.Running + e.Load.Waiting),
-		Prefill: float64(e.Load.WaitingPrefill), KVUsed: e.Load.KVUsed, Role: e.Load.Role, Leaving: e.Load.Leaving || c.configuredLeaving(e.Endpoint),
+		Prefill: float64(e.Load.WaitingPrefill), KVUsed: e.Load.KVUsed, Role: e.Load.Role, Leaving: e.Load.Leaving,
 	}
 	changed := c.router.Report(at, s, &pools[0].Pool, load)
 	for _, p := range pools {
@@ -183,8 +182,3 @@
 	}
 	return total
 }
-
-func (c *Core) configuredLeaving(name namer.Endpoint) bool {
-	i := slices.IndexFunc(c.fleet.Endpoints, func(e EndpointView) bool { return e.Name == name })
-	return i >= 0 && c.fleet.Endpoints[i].Leaving
-}
--- a/router/router.go
+++ b/router/router.go
@@ -32,10 +32,13 @@
 // endpoint is the router's knowledge about one endpoint.
 type endpoint struct {
 	Endpoint
-	used   bool
-	pools  []*Pool
-	limit  limiter.Limit
-	health health
+	used              bool
+	pools             []*Pool
+	configured        namer.Role
+	configuredLeaving bool
+	saidLeaving       bool // by the endpoint itself
+	limit             limiter.Limit
+	health            health
 
 	reportAt namer.Seconds
 	reported float64 // requests at the endpoint at reportAt
@@ -87,14 +90,22 @@
 	}
 	if s, ok := r.slots[view.Name]; ok {
 		e := &r.endpoints[s]
-		view.Role = e.Role // the endpoint's own report is newer than the configuration
-		view.Leaving = view.Leaving || (e.Leaving && e.reportAt > 0 && e.used)
-		e.Endpoint = view
+		role := e.Role // as reported, unless the configuration has changed since
+		if view.Role != e.configured {
+			role = view.Role
+		}
+		if now-e.reportAt > staleReport {
+			e.saidLeaving = false
+		}
+		e.Endpoint, e.configured, e.configuredLeaving = view, view.Role, view.Leaving
+		e.Leaving = e.configuredLeaving || e.saidLeaving
+		e.setRole(role)
 		e.setDrain()
 		e.limit.SetCeiling(view.Ceiling)
 		return s
 	}
 	fresh := endpoint{Endpoint: view, used: true, limit: limiter.New(view.StartLimit, view.Ceiling), reportAt: now, backlogAt: now, classes: 1}
+	fresh.configured, fresh.configuredLeaving = view.Role, view.Leaving
 	fresh.setRole(view.Role)
 	fresh.setDrain()
 	var s Slot
@@ -118,7 +129,7 @@
 		if !e.used || keep(e.Name) {
 			continue
 		}
-		e.Leaving = true
+		e.configuredLeaving, e.Leaving = true, true
 		if e.own == 0 {
 			r.prefixes.reset(Slot(s))
 			delete(r.slots, e.Name)
@@ -223,16 +234,26 @@
 	lowest := p.lowest()
 	e.classes = max(e.classes, lowest+1)
 	e.backlog[lowest] += total
-	changed := (load.Role != "" && load.Role != e.Role) || load.Leaving != e.Leaving
+	before := e.Leaving
+	e.leave(load.Leaving)
+	changed := (load.Role != "" && load.Role != e.Role) || before != e.Leaving
 	if load.Role != "" {
 		e.setRole(load.Role)
 	}
-	e.Leaving = load.Leaving
 	return changed
 }
 
-// Leave marks an endpoint as leaving.
-func (r *Router) Leave(s Slot, leaving bool) { r.endpoints[s].Leaving = leaving }
+// Leave takes an endpoint's own word that it is leaving.
+func (r *Router) Leave(s Slot, leaving bool) { r.endpoints[s].leave(leaving) }
+
+func (e *endpoint) leave(leaving bool) {
+	e.saidLeaving = leaving
+	e.Leaving = e.configuredLeaving || leaving
+}
+
+// staleReport is the age from which an endpoint's word that it is leaving no longer counts against
+// the configuration; endpoints that don't report would else stay out of use.
+const staleReport namer.Seconds = 30
 
 // advance drains the backlog up to now, urgent work first, and adds what other hosts are expected
 // to have sent, which is as much as this host sends to an average endpoint.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -187,3 +187,28 @@
 		is.Equal(choice.Prefill == router.None && choice.Slot == m[2], !c.want)
 	}
 }
+
+// Guards against endpoints that stay out of use after a drain that has ended, or that get work while
+// either the configuration or the endpoint itself says that it is leaving.
+func TestLeavingEndsWhenBothSaySo(t *testing.T) {
+	is := is.New(t)
+	r, p := fleet(1, 1)
+	s := p.Members()[0]
+	put := func(now namer.Seconds, leaving bool) {
+		r.Put(now, router.Endpoint{Name: r.Name(s), Ceiling: 64, StartLimit: 64, Leaving: leaving, Rates: r.Rates(s)})
+	}
+	usable := func(now namer.Seconds) bool {
+		_, ok := r.Pick(now, p, query(100))
+		return ok
+	}
+	put(2, true)
+	r.Report(3, s, p, router.Load{At: 3})
+	is.True(!usable(3)) // the endpoint doesn't know of the drain
+	put(4, false)
+	is.True(usable(4))
+	r.Leave(s, true)
+	put(5, false)
+	is.True(!usable(5))
+	put(50, false) // nothing heard since
+	is.True(usable(50))
+}
