--- a/gossiper/message.go
+++ b/gossiper/message.go
@@ -117,6 +117,7 @@
 const (
 	SourceState    Source = iota // the endpoint or host itself
 	SourceHostList               // the platform's host list
+	SourceChange                 // a planned change of the endpoint that is in progress
 )
 
 // Kind says what a notice is about.
@@ -142,6 +143,7 @@
 	Subject Subject
 	Stamp   uint64 // the greater one is newer; about microseconds of wall clock
 	Leaving bool
+	Fencing namer.Fencing // of a planned change: number of the lease that allows it; goes before Stamp
 }
 
 // Notices is the message of announce-leaving.
