--- a/director/fault_test.go
+++ b/director/fault_test.go
@@ -286,3 +286,44 @@
 		})
 	}
 }
+
+// Guards against a former holder that wakes and clears the mark of its successor's change, which lets
+// new work reach an engine that is about to change, or keeps the change from ending.
+func TestFormerHolderKeepsMark(t *testing.T) {
+	w := newWorld(true)
+	run(t, w, func(ctx context.Context, is *is.I, p *process) {
+		next := w.start(ctx, 1)
+		defer next.cancel()
+		w.engines[0].stick()
+		go p.apply(role("e0"))
+		time.Sleep(time.Second)
+		p.Pause(20 * time.Second)
+		time.Sleep(22 * time.Second)
+		_, holds := next.authority()
+		marked, _ := w.marked("e0")
+		is.True(holds && w.record("e0").Change != nil) // the successor goes on
+		is.True(marked)
+	})
+}
+
+// Guards against a director that fits only the fake of this package: an idle shared fake engine
+// changes its role by the same three commands.
+func TestSharedFakeEngine(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		w := newWorld(fencing)
+		shared := &imitator.Engine{ChecksFencing: fencing, RoleChange: 4 * time.Second}
+		w.prepare = func(p *process) { p.Director.Engine = shared }
+		run(t, w, func(ctx context.Context, is *is.I, p *process) {
+			is.Equal(p.apply(role("e0")), []director.Outcome{director.Done})
+			state, err := shared.State(ctx, generator.Target{})
+			is.NoErr(err)
+			is.Equal(state.Role, namer.RoleDecode)
+			is.True(!state.Draining)
+			var kinds []generator.CommandKind
+			for _, c := range shared.Commands() {
+				kinds = append(kinds, c.Kind)
+			}
+			is.Equal(kinds, []generator.CommandKind{generator.CommandDrain, generator.CommandRole, generator.CommandResume})
+		})
+	}
+}
