gossiper: Keep a table's seeds apart from its caller's slice

Change: a table clones its seeds. The new test fails without the clone. Conclusion: several daemons in one process, as in dev, no longer race.

--- a/gossiper/table.go
+++ b/gossiper/table.go
@@ -10,6 +10,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -106,6 +107,7 @@
 		return
 	}
 	t.started = true
+	t.Seeds = slices.Clone(t.Seeds) // seeds are added; the caller may share its slice
 	t.last = now
 	id := idOf(t.Self.Host, t.Incarnation)
 	t.self = &member{
--- a/gossiper/table_test.go
+++ b/gossiper/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -302,3 +303,13 @@
 		is.True(counts[p.Host] > 20) // 62 expected
 	}
 }
+
+// Guards against a table that writes into the seeds that other daemons of the process share.
+func TestSeedsAreNotShared(t *testing.T) {
+	is := is.New(t)
+	seeds := append(make([]netip.AddrPort, 0, 8), address(0))
+	table := &gossiper.Table{Self: peer(1, 1), Incarnation: 1, Seeds: seeds, Random: rand.New(rand.NewPCG(1, 1))}
+	table.Hosts(epoch, []lister.Host{{Name: "d", Address: address(2).Addr(), State: lister.Live, Peer: address(2)}})
+	is.Equal(len(table.Seeds), 2)
+	is.Equal(seeds[:2][1], netip.AddrPort{})
+}
