Serve the rank that is owed most and grow the limit towards the predicted batch

Cause: with shares that add up to 1 two ranks can be owed at once and the most urgent one hid the other; each of several hosts sees few answers of an endpoint, so the limit took minutes to grow.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -165,20 +165,24 @@
 	q.spend(now, rank, e.Cost)
 }
 
-// Next returns the rank to serve now: one that is owed its share, else the most urgent one that
+// Next returns the rank to serve now: the one that is owed most, else the most urgent one that
 // waits. Owed reports the former. Bits of blocked exclude ranks.
 func (q *Queue) Next(blocked uint32) (rank int, owed, ok bool) {
-	first := -1
+	first, most := -1, -1
 	for i := range q.lanes {
-		if len(q.lanes[i].entries) == 0 || blocked&(1<<i) != 0 {
+		l := &q.lanes[i]
+		if len(l.entries) == 0 || blocked&(1<<i) != 0 {
 			continue
 		}
-		if q.lanes[i].credit > 0 {
-			return i, true, true
-		}
 		if first < 0 {
 			first = i
 		}
+		if l.credit > 0 && (most < 0 || l.credit > q.lanes[most].credit) {
+			most = i
+		}
+	}
+	if most >= 0 {
+		return most, true, true
 	}
 	return first, false, first >= 0
 }
--- a/decider/observe.go
+++ b/decider/observe.go
@@ -73,12 +73,13 @@
 		rates := c.router.Rates(t.slot)
 		took := at - t.sentAt - 2*c.router.Distance(t.slot)
 		rates.LearnPrefill(1, load, took)
-		c.router.Paced(at, t.slot, float64(took/(plainSlowdown*rates.Prefill(1, 0))), load)
+		c.router.Paced(at, t.slot, float64(took/(plainSlowdown*rates.Prefill(1, 0))), load, 0)
 	case e.OutputTokens >= paceTokens:
 		between := (at - t.startAt) / namer.Seconds(e.OutputTokens-1)
 		c.router.Rates(t.slot).LearnDecode(load, between)
 		if target := t.pool.pace(at); target > 0 {
-			c.router.Paced(at, t.slot, float64(between/target), load)
+			sustainable := c.router.Rates(t.slot).Batch(target * targetMargin)
+			c.router.Paced(at, t.slot, float64(between/target), load, sustainable)
 		}
 	}
 	if !t.pool.Plain {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -11,6 +11,9 @@
 	cutInterval namer.Seconds = 1
 	// The limit grows only below this part of the target, which leaves a band without changes.
 	growBelow = 0.9
+	// approach is the part of the way to the predicted limit that one answer allows. Each of several
+	// hosts sees few answers of an endpoint, so growth by answers alone takes minutes.
+	approach = 0.1
 	// An unused limit says nothing about a higher one.
 	growUsed = 0.75
 	// Below this part of the ceiling a slow pace has other causes than concurrency, such as long
@@ -39,13 +42,14 @@
 	l.value = min(l.value, l.ceiling)
 }
 
-// Observe takes the pace of a finished answer relative to its target; running is the load it met.
-func (l *Limit) Observe(now namer.Seconds, pace, running float64) {
+// Observe takes the pace of a finished answer relative to its target; running is the load it met and
+// sustainable the load that is predicted to keep the pace, towards which the limit grows faster.
+func (l *Limit) Observe(now namer.Seconds, pace, running, sustainable float64) {
 	switch {
 	case pace > 1:
 		l.shrink(now, cut)
 	case pace < growBelow && running >= growUsed*l.value:
-		l.value = min(l.ceiling, l.value+1/l.value+0.25)
+		l.value = min(l.ceiling, l.value+1/l.value+0.25+approach*max(0, sustainable-l.value))
 	}
 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -18,10 +18,11 @@
 func TestLimitFindsTheLoadThatKeepsThePace(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sustainable := rapid.Float64Range(12, 60).Draw(t, "sustainable")
+		predicted := sustainable * rapid.Float64Range(0.5, 1.5).Draw(t, "error of the prediction")
 		l := limiter.New(rapid.Float64Range(1, 64).Draw(t, "start"), 64)
 		for step := range 3000 {
 			running := l.Value() // demand is unlimited
-			l.Observe(namer.Seconds(step)*0.1, running/sustainable, running)
+			l.Observe(namer.Seconds(step)*0.1, running/sustainable, running, predicted)
 			if l.Value() < 1 || l.Value() > 64 {
 				t.Fatalf("limit %.2f is out of bounds", l.Value())
 			}
--- a/router/router.go
+++ b/router/router.go
@@ -392,8 +392,8 @@
 func (r *Router) Refused(now namer.Seconds, s Slot) { r.endpoints[s].limit.Refused(now) }
 
 // Paced takes the pace of an answer relative to its target into the endpoint's limit.
-func (r *Router) Paced(now namer.Seconds, s Slot, pace, running float64) {
-	r.endpoints[s].limit.Observe(now, pace, running)
+func (r *Router) Paced(now namer.Seconds, s Slot, pace, running, sustainable float64) {
+	r.endpoints[s].limit.Observe(now, pace, running, sustainable)
 }
 
 // Cache takes news about the blocks that an endpoint holds.
