Learn fast prefill engines and hold roles on a noisy demand

Cause: an engine with the prefill role is up to three times faster than the configured rate of a mixed one and the low quantile learned it too slowly; the planner's demand is one host's own, scaled up. Change: observations shorter than predicted teach prefill engines at once, the planner uses their learned rate and acts only below 93% served.

--- a/decider/observe.go
+++ b/decider/observe.go
@@ -48,10 +48,16 @@
 // and what the cache holds are known from late reports.
 func (c *Core) learnPrefill(t *tracked, s router.Slot, took namer.Seconds) {
 	own := t.choice.Uncached
-	if t.choice.Ahead > own/2 || own < float64(t.request.PromptTokens)/2 {
+	if own < float64(t.request.PromptTokens)/2 {
 		return
 	}
 	rates := c.router.Rates(s)
+	if c.router.Role(s) == namer.RolePrefill {
+		rates.LearnFaster(own, t.load, took-2*c.router.Distance(s))
+	}
+	if t.choice.Ahead > own/2 {
+		return
+	}
 	took -= 2 * c.router.Distance(s)
 	if s == t.slot {
 		took -= rates.Token(t.load)
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -153,6 +153,17 @@
 	r.model.prefill.learn(running/loadUnit, y, 0.25, unseenBias)
 }
 
+// LearnFaster takes an observation that is shorter than predicted, whatever else it contains. Engines
+// with the prefill role are up to three times faster than the configured rate of a mixed one.
+func (r *Rates) LearnFaster(tokens, running float64, took namer.Seconds) {
+	if tokens >= shortPrompt && took > 0 && took < r.Prefill(tokens, running) {
+		r.prefill.learn(running/loadUnit, float64(took)/tokens/r.prefillScale, min(1, tokens/longPrompt), 1)
+	}
+}
+
+// shortPrompt is the least prompt that says something about the rate at all.
+const shortPrompt = 300.0
+
 func (r *Rates) learnOverhead(rest namer.Seconds) {
 	step := namer.Seconds(overheadStep)
 	if rest > r.overhead {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -74,9 +74,9 @@
 	// payback is how many times their cost changes must gain within the horizon. With 2 the planner
 	// stopped after the first step, since the second gains less than the whole way costs.
 	payback = 1.0
-	// satisfied is the part of the demand that the present roles must fail to serve before anything
-	// changes: on a steady mix that fits, nothing is changed for a small gain.
-	satisfied = 0.97
+	// satisfied is the part of the demand below which the present roles must fall before anything
+	// changes. The demand is scaled up from one host and noisy even on a steady mix.
+	satisfied = 0.93
 	// flood is the part of the demand that the best split must be able to serve. Far more demand than
 	// that is not a shift of the mix: most of it is refused, and roles that follow it fail the rest.
 	flood = 0.85
@@ -213,11 +213,16 @@
 // memory that the streams of the present mix take.
 func (p *Planner) load(v View, o offer) load {
 	prefillRate, decodeRate, streams, running, memory := 0.0, 0.0, 0.0, 0.0, 0.0
+	special, specialRate := 0.0, 0.0 // engines with the prefill role show its rate themselves
 	n := float64(len(v.Engines))
 	for _, e := range v.Engines {
 		prefillRate += e.PrefillRate / n
 		decodeRate += e.DecodeRate / n
 		streams += float64(e.Concurrency) / n
+		if e.Role == namer.RolePrefill {
+			special++
+			specialRate += e.PrefillRate
+		}
 		if e.Role.CanDecode() {
 			running += float64(e.Running)
 			memory += e.KVUsed
@@ -227,6 +232,9 @@
 		streams = min(streams, memoryUse*running/memory)
 	}
 	prefillRate *= prefillGain
+	if special > 0 {
+		prefillRate = max(prefillRate, specialRate/special)
+	}
 	decodeRate *= max(streams, 1) / batchSlowdown
 	return load{
 		prefill: o.prompt / max(prefillRate, 1), decode: o.output / max(decodeRate, 1),
