--- a/decider/observe.go
+++ b/decider/observe.go
@@ -48,10 +48,16 @@
 // and what the cache holds are known from late reports.
 func (c *Core) learnPrefill(t *tracked, s router.Slot, took namer.Seconds) {
 	own := t.choice.Uncached
-	if t.choice.Ahead > own/2 || own < float64(t.request.PromptTokens)/2 {
+	if own < float64(t.request.PromptTokens)/2 {
 		return
 	}
 	rates := c.router.Rates(s)
+	if c.router.Role(s) == namer.RolePrefill {
+		rates.LearnFaster(own, t.load, took-2*c.router.Distance(s))
+	}
+	if t.choice.Ahead > own/2 {
+		return
+	}
 	took -= 2 * c.router.Distance(s)
 	if s == t.slot {
 		took -= rates.Token(t.load)
@@ -73,12 +79,13 @@
 		rates := c.router.Rates(t.slot)
 		took := at - t.sentAt - 2*c.router.Distance(t.slot)
 		rates.LearnPrefill(1, load, took)
-		c.router.Paced(at, t.slot, float64(took/(plainSlowdown*rates.Prefill(1, 0))), load)
+		c.router.Paced(at, t.slot, float64(took/(plainSlowdown*rates.Prefill(1, 0))), load, 0)
 	case e.OutputTokens >= paceTokens:
 		between := (at - t.startAt) / namer.Seconds(e.OutputTokens-1)
 		c.router.Rates(t.slot).LearnDecode(load, between)
 		if target := t.pool.pace(at); target > 0 {
-			c.router.Paced(at, t.slot, float64(between/target), load)
+			sustainable := c.router.Rates(t.slot).Batch(target * targetMargin)
+			c.router.Paced(at, t.slot, float64(between/target), load, sustainable)
 		}
 	}
 	if !t.pool.Plain {
