--- a/experimenter/plot.go
+++ b/experimenter/plot.go
@@ -30,6 +30,8 @@
 		p.Add(line)
 		p.Legend.Add(result.Policy, line)
 	}
+	p.Y.Min = 0
+	p.X.Max *= 1.25 // room for the legend
 	return errors.Wrapf(p.Save(plotWidth, plotHeight, file), "save %s", file)
 }
 
