--- a/router/router_test.go
+++ b/router/router_test.go
@@ -154,14 +154,15 @@
 func TestEndpointsAreUsedWhenAllAreEjected(t *testing.T) {
 	is := is.New(t)
 	r, p := fleet(3, 1)
-	for _, s := range p.Members()[1:] {
-		r.Reachable(10, s, false)
+	for _, s := range p.Members()[:2] {
+		r.Unreachable(10, s)
+		is.True(r.Ejected(s)) // after one failed connection
 	}
-	for range 10 { // a partition: the one endpoint in reach carries on alone
+	for range 10 { // a partition: the one endpoint in reach, the least attractive, carries on alone
 		choice, ok := r.Pick(10, p, query(100))
-		is.True(ok && choice.Slot == p.Members()[0])
+		is.True(ok && choice.Slot == p.Members()[2])
 	}
-	r.Reachable(10, p.Members()[0], false)
+	r.Reachable(10, p.Members()[2], false)
 	_, ok := r.Pick(10, p, query(100))
 	is.True(ok)
 }
@@ -186,3 +187,28 @@
 		is.Equal(choice.Prefill == router.None && choice.Slot == m[2], !c.want)
 	}
 }
+
+// Guards against endpoints that stay out of use after a drain that has ended, or that get work while
+// either the configuration or the endpoint itself says that it is leaving.
+func TestLeavingEndsWhenBothSaySo(t *testing.T) {
+	is := is.New(t)
+	r, p := fleet(1, 1)
+	s := p.Members()[0]
+	put := func(now namer.Seconds, leaving bool) {
+		r.Put(now, router.Endpoint{Name: r.Name(s), Ceiling: 64, StartLimit: 64, Leaving: leaving, Rates: r.Rates(s)})
+	}
+	usable := func(now namer.Seconds) bool {
+		_, ok := r.Pick(now, p, query(100))
+		return ok
+	}
+	put(2, true)
+	r.Report(3, s, p, router.Load{At: 3})
+	is.True(!usable(3)) // the endpoint doesn't know of the drain
+	put(4, false)
+	is.True(usable(4))
+	r.Leave(s, true)
+	put(5, false)
+	is.True(!usable(5))
+	put(50, false) // nothing heard since
+	is.True(usable(50))
+}
