--- a/gossiper/mark_test.go
+++ b/gossiper/mark_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"apricotspool/gossiper"
-	"apricotspool/lister"
 )
 
 // Guards against a former lease holder that wakes and clears its successor's mark, against a poll
@@ -38,17 +36,3 @@
 	table.Beat(now)
 	is.True(!changing()) // its process never ended it
 }
-
-// Guards against a table that appends to the slice of its caller: several gossipers of one process
-// shared its array and raced (found by TestVersionReachesAll with -race).
-func TestSeedsOfTheCallerStayUnchanged(t *testing.T) {
-	is := is.New(t)
-	backing := make([]netip.AddrPort, 1, 4)
-	backing[0] = address(1)
-	table := &gossiper.Table{Self: peer(0, 3), Incarnation: 1, Seeds: backing, Random: rand.New(rand.NewPCG(1, 1))}
-	now := time.Now()
-	table.Configure(now, snapshot(t, 1, 3, 48))
-	table.Hosts(now, []lister.Host{{Name: "other", State: lister.Live, Address: address(2).Addr(), Peer: address(2)}})
-	is.Equal(len(table.Seeds), 2)
-	is.Equal(backing[:2][1], netip.AddrPort{})
-}
--- a/gossiper/table.go
+++ b/gossiper/table.go
@@ -118,7 +118,6 @@
 	t.forgotten = map[uint64]forgotten{}
 	t.remote = map[namer.DataCentre]*remote{}
 	t.notices = map[Subject]Notice{}
-	t.Seeds = slices.Clone(t.Seeds) // the table adds to it, and its caller's array may be shared
 }
 
 // Configure takes a version of the configuration, from which endpoints and data centres are known.
