Give the core the callers' weights; let the fakes of dev outlive the daemons

Cause: the configuration has a weight for each caller, but the server did not pass it on; in go run . dev the fakes stopped a second after an interrupt, so a longer stream ended in an error during the drain; a process test ended after a minute on a machine with a load of 20 to 30, although nothing hung. Before: TestCoreGetsTheCallersWeight fails; a 4 s stream was cut at the drain. After: both are right, by a run. Conclusion: none beyond that.

--- a/commander/dev.go
+++ b/commander/dev.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -67,13 +68,26 @@
 	if err := demo.prepare(); err != nil {
 		return err
 	}
-	if err := demo.startFakes(ctx, group); err != nil {
+	// The fakes outlive the daemons, which drain when ctx ends.
+	fakes, stopFakes := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFakes()
+	if err := demo.startFakes(fakes, group); err != nil {
 		return err
 	}
+	var daemons sync.WaitGroup
 	for _, settings := range demo.daemons {
 		daemon := &assembler.Daemon{Settings: settings, Log: log, Version: Version}
-		group.Go(func() error { return daemon.Run(ctx) })
+		daemons.Add(1)
+		group.Go(func() error {
+			defer daemons.Done()
+			return daemon.Run(ctx)
+		})
 	}
+	group.Go(func() error {
+		daemons.Wait()
+		stopFakes()
+		return nil
+	})
 	group.Go(func() error {
 		if err := demo.configure(ctx, c); err != nil {
 			return err
@@ -155,8 +169,6 @@
 		})
 		group.Go(func() error {
 			<-ctx.Done()
-			// Daemons drain before the fakes stop serving them.
-			time.Sleep(time.Second)
 			return server.Close()
 		})
 	}
--- a/server/complete.go
+++ b/server/complete.go
@@ -65,7 +65,7 @@
 	}
 	x.id.Service = name
 	request := decider.Request{
-		ID: x.id.Stream, Caller: x.name, Service: name, Model: c.Model, Rank: rank, Idempotent: true,
+		ID: x.id.Stream, Caller: x.name, Weight: x.caller.Weight, Service: name, Model: c.Model, Rank: rank, Idempotent: true,
 		PromptTokens: c.Prompt, MaxTokens: c.MaxTokens, Prefix: c.Prefix, Deadline: x.began.Add(service.Deadline.Std()),
 	}
 	ctx, stop := x.until(request.Deadline)
--- a/server/core_test.go
+++ b/server/core_test.go
@@ -1,11 +1,17 @@
 package server_test
 
 import (
+	"net/http"
 	"slices"
+	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"apricotspool/classifier"
 	"apricotspool/decider"
+	"apricotspool/dispatcher"
+	"apricotspool/imitator"
 	"apricotspool/namer"
 )
 
@@ -69,3 +75,30 @@
 	delete(c.requests, r.ID)
 	return []decider.Action{{Kind: decider.ActionRefuse, Request: r.ID, Outcome: outcome, RetryAfter: time.Second}}
 }
+
+// heardCore keeps the requests that arrive.
+type heardCore struct {
+	steadyCore
+	arrived chan decider.Request
+}
+
+func (c *heardCore) Arrive(now time.Time, r decider.Request) []decider.Action {
+	c.arrived <- r
+	return c.steadyCore.Arrive(now, r)
+}
+
+// Guards against a core that shares a rank without the callers' weights.
+func TestCoreGetsTheCallersWeight(t *testing.T) {
+	is := is.New(t)
+	core := &heardCore{arrived: make(chan decider.Request, 2)}
+	f := newFar(t, &imitator.Engine{})
+	f.core = func() dispatcher.Core { return core }
+	daemon := f.start(t)
+	for _, path := range []string{"/v1/chat/completions", "/services/desk/echo"} {
+		response := daemon.do(t, http.MethodPost, path, chat(1, ""), nil)
+		response.Body.Close()
+		r := <-core.arrived
+		is.Equal(r.Caller, namer.Caller("fitter"))
+		is.Equal(r.Weight, 3)
+	}
+}
--- a/server/forwardattempt.go
+++ b/server/forwardattempt.go
@@ -15,7 +15,7 @@
 // arrive waits until the core has admitted the call. It answers the caller when it has not.
 func (f *forwarding) arrive(ctx context.Context) bool {
 	ticket, err := f.x.server.Dispatcher.Submit(ctx, decider.Request{
-		ID: f.x.id.Stream, Caller: f.x.name, Service: f.name, Rank: f.rank, Idempotent: !f.once, Deadline: f.deadline,
+		ID: f.x.id.Stream, Caller: f.x.name, Weight: f.x.caller.Weight, Service: f.name, Rank: f.rank, Idempotent: !f.once, Deadline: f.deadline,
 	})
 	if err != nil {
 		f.x.refuse(classifier.Draining, "")
