dispatcher: Read the test core's ticks under its lock

Change: the count is read under the lock after synctest.Wait. Before: data race. Conclusion: the bounds are unchanged.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -55,6 +55,14 @@
 	return nil
 }
 
+// ticked waits until the dispatcher is idle and returns the number of ticks so far.
+func (s *script) ticked() int {
+	synctest.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ticks
+}
+
 func dispatch(r decider.Request) []decider.Action {
 	return []decider.Action{{Kind: decider.ActionDispatch, Request: r.ID, Attempt: 1, Endpoint: "e"}}
 }
@@ -141,11 +149,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go d.Run(ctx)
 		ticks := func(length time.Duration) int {
-			synctest.Wait()
-			before := core.ticks
+			before := core.ticked()
 			time.Sleep(length)
-			synctest.Wait()
-			return core.ticks - before
+			return core.ticked() - before
 		}
 		ticks(time.Second)
 		is.True(ticks(10*time.Second) <= 41)
