--- a/assembler/capacity_test.go
+++ b/assembler/capacity_test.go
@@ -87,7 +87,9 @@
 		t.Skip("measures only with -measure-daemons")
 	}
 	c := newCluster(t, *measureDaemons, "10ms", "0s")
-	code, answer := c.operator(0, http.MethodPatch, "/configuration", c.designConfiguration(), http.Header{"If-Match": {`"1"`}, administrator.HeaderPatchID: {"design"}})
+	patch := c.designConfiguration()
+	t.Logf("configuration of %d bytes", len(patch))
+	code, answer := c.operator(0, http.MethodPatch, "/configuration", patch, http.Header{"If-Match": {`"1"`}, administrator.HeaderPatchID: {"design"}})
 	if code != http.StatusOK {
 		t.Fatalf("status %d: %.300s", code, answer)
 	}
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -46,11 +46,18 @@
 	operator operatorFlags
 }
 
-// Run carries out one command line and returns the exit code of the process.
+// Run carries out one command line until it ends or the process is told to stop, and returns the
+// exit code of the process.
 func Run(args []string, out, errOut io.Writer) int {
+	return RunContext(interruptible(), args, out, errOut)
+}
+
+// RunContext carries out one command line; the end of ctx stops it gracefully.
+func RunContext(ctx context.Context, args []string, out, errOut io.Writer) int {
 	c := &console{out: out, err: errOut}
 	app := kingpin.New("apricotspool", "Serves language models and plain services on a fixed fleet to urgent and lower-rank callers.")
-	app.UsageWriter(errOut).ErrorWriter(errOut).Terminate(nil)
+	printed := false // help was printed; kingpin would end the process then
+	app.UsageWriter(out).ErrorWriter(errOut).Terminate(func(int) { printed = true })
 	app.HelpFlag.Short('h')
 	actions := map[string]func(ctx context.Context) error{}
 	for _, add := range []func(*kingpin.Application, map[string]func(context.Context) error){
@@ -58,17 +65,15 @@
 	} {
 		add(app, actions)
 	}
-	app.UsageWriter(out)
 	command, err := app.Parse(args)
+	if printed {
+		return ExitOK
+	}
 	if err != nil {
 		fmt.Fprintf(errOut, "apricotspool: %v; try --help\n", err)
 		return ExitUsage
 	}
-	action, ok := actions[command]
-	if !ok { // help was printed
-		return ExitOK
-	}
-	return c.exitCode(action(interruptible()))
+	return c.exitCode(actions[command](ctx))
 }
 
 func (c *console) exitCode(err error) int {
