--- a/configurer/check.go
+++ b/configurer/check.go
@@ -46,11 +46,16 @@
 	if err := document.Check().Err(); err != nil {
 		return nil, err
 	}
-	for name, caller := range document.Callers {
+	document.canonicalise()
+	return document, nil
+}
+
+// canonicalise writes token sums in one way, so that equal documents have equal encodings.
+func (d *Document) canonicalise() {
+	for name, caller := range d.Callers {
 		caller.TokenSHA256 = strings.ToLower(caller.TokenSHA256)
-		document.Callers[name] = caller
+		d.Callers[name] = caller
 	}
-	return document, nil
 }
 
 // Check returns every fault of the document in a stable order.
