messenger: Compress messages from 4 kB

Cause: heap profiles of idle daemons (TestControlCost, 32 daemons) showed 19 of 38 MB in gzip compressors, which connect allocates for each client; a gossip exchange of about 500 bytes shrinks by a fifth only. Change: messages below 4 kB are sent as they are.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -18,8 +18,9 @@
 // MaxMessageBytes bounds one message. The largest is a configuration document (1 MB) with its envelope.
 const MaxMessageBytes = 2 << 20
 
-// compressFrom is the size from which messages are compressed; smaller ones hardly shrink.
-const compressFrom = 512
+// compressFrom is the size from which messages are compressed. A gossip exchange of about 500 bytes
+// shrinks by a fifth, but each compressor takes 0.8 MB: 19 MB of an idle daemon's heap of 38 MB.
+const compressFrom = 4096
 
 var (
 	encoding = must(cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode())
