--- /dev/null
+++ b/supervisor/supervisor_test.go
@@ -0,0 +1,44 @@
+package supervisor_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"apricotspool/supervisor"
+)
+
+// Guards against a failed part that stays down, one that is restarted without pause, and a
+// supervisor that returns before its parts.
+func TestFailedPartsAreRestartedWithBackOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var starts []time.Duration
+		began := time.Now()
+		failing := supervisor.RunFunc(func(context.Context) error {
+			starts = append(starts, time.Since(began))
+			return errors.New("part failed")
+		})
+		cleaned := false
+		steady := supervisor.RunFunc(func(ctx context.Context) error {
+			<-ctx.Done()
+			time.Sleep(time.Second)
+			cleaned = true
+			return ctx.Err()
+		})
+		s := &supervisor.Supervisor{Children: []supervisor.Child{{Name: "failing", Part: failing}, {Name: "steady", Part: steady}}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		is.True(s.Run(ctx) != nil)
+		<-s.Done()
+		is.True(cleaned)
+		is.True(len(starts) > 10) // about 5 s between two starts after the first few
+		is.True(len(starts) < 40)
+		is.True(starts[1] >= supervisor.DefaultMinDelay/2)
+		is.True(starts[len(starts)-1]-starts[len(starts)-2] <= supervisor.DefaultMaxDelay)
+	})
+}
