Prove daemons to each other in the process tests

Cause: mutual TLS between daemons and the renewal of certificates had not been run. Conclusion: no fault found.

--- a/assembler/cluster_test.go
+++ b/assembler/cluster_test.go
@@ -21,6 +21,8 @@
 	"github.com/matryer/is"
 
 	"apricotspool/administrator"
+	"apricotspool/loader"
+	"apricotspool/loader/loadertest"
 )
 
 // Settings of the process tests. Waits end as soon as what they wait for has happened.
@@ -56,8 +58,9 @@
 	t        *testing.T
 	is       *is.I
 	dir      string
-	host     string // loopback address that no other test process uses
-	ports    int    // taken at host
+	peerTLS  loader.TLS // the daemons prove themselves to each other
+	host     string     // loopback address that no other test process uses
+	ports    int        // taken at host
 	store    string
 	ordering string
 	engines  []string
@@ -109,6 +112,7 @@
 	for range 2 {
 		c.engines = append(c.engines, c.fake("engine", "--interval", interval, "--checks-fencing", "--model", "belt-7b"))
 	}
+	c.peerTLS = loadertest.NewAuthority(t).Issue(t, c.dir, "daemon")
 	c.write("operators.token", "operators-token")
 	c.write("signing.key", strings.Repeat("k", 32))
 	for i := range daemons {
@@ -149,7 +153,7 @@
 		"host": fmt.Sprintf("entry-%d", i), "data-centre": "a",
 		"callers":   map[string]string{"address": d.callers},
 		"operators": map[string]string{"address": d.operators, "token-file": filepath.Join(c.dir, "operators.token")},
-		"peers":     map[string]string{"address": d.peers}, "seeds": seeds,
+		"peers":     map[string]any{"address": d.peers, "tls": c.peerTLS}, "seeds": seeds,
 		"platform":          map[string]string{"object-api": c.store},
 		"signing-key-files": []string{filepath.Join(c.dir, "signing.key")},
 		"drain":             map[string]string{"notice": "200ms"},
--- a/loader/certificate.go
+++ b/loader/certificate.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"cmp"
 	"crypto/tls"
 	"crypto/x509"
 	"os"
@@ -10,13 +11,14 @@
 	"github.com/pkg/errors"
 )
 
-// certificateRecheck is how long a certificate is used before its files are looked at again.
-const certificateRecheck = 10 * time.Second
+// DefaultRecheck is how long a certificate is used before its files are looked at again.
+const DefaultRecheck = 10 * time.Second
 
 // Certificates serves the certificates of one listener and reads them again when the files change,
 // so that a renewed certificate needs no restart. A file that can't be read keeps the old one in use.
 type Certificates struct {
-	Files TLS
+	Files   TLS
+	Recheck time.Duration // 0 means DefaultRecheck
 
 	mu       sync.Mutex // guards the fields below; handshakes read them concurrently
 	checked  time.Time
@@ -87,7 +89,7 @@
 func (c *Certificates) load() (*tls.Config, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.current != nil && time.Since(c.checked) < certificateRecheck {
+	if c.current != nil && time.Since(c.checked) < cmp.Or(c.Recheck, DefaultRecheck) {
 		return c.current, nil
 	}
 	c.checked = time.Now()
