--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -35,6 +35,7 @@
 		{[]string{"check", "--settings", broken}, commander.ExitUsage, "/data-centre"},
 		{[]string{"check", "--settings", broken, "--output", "json"}, commander.ExitUsage, `"path":"/host"`},
 		{[]string{"serve", "--settings", "/nowhere"}, commander.ExitUsage, "/nowhere"},
+		{[]string{"config", "patch", "--base-version", "1", "--operators", "nowhere", "--token-file", broken, broken}, commander.ExitUsage, "--operators"},
 		{[]string{"status", "--operators", "127.0.0.1:9", "--token-file", broken}, commander.ExitFailure, "call daemon"},
 	} {
 		t.Run(strings.Join(c.args, " "), func(t *testing.T) {
@@ -158,18 +159,19 @@
 	run := func(code int, want string, args ...string) {
 		t.Helper()
 		var text bytes.Buffer
-		args = append(args, "--operators", fmt.Sprintf("127.0.0.1:%d", port+1), "--token-file", token[1])
 		is.Equal(commander.RunContext(t.Context(), args, &text, &text), code)
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("%v: %q is not in %s", args, want, text.String())
 		}
 	}
+	t.Setenv("APRICOTSPOOL_OPERATORS", fmt.Sprintf("127.0.0.1:%d", port+1))
+	t.Setenv("APRICOTSPOOL_TOKEN_FILE", token[1])
 	run(commander.ExitOK, "belt-7b", "config", "get")
-	run(commander.ExitOK, "applied", "config", "patch", "--version", "1", "--patch-id", "p", "--by", "kim", patch)
-	run(commander.ExitOK, "applied", "config", "patch", "--version", "1", "--patch-id", "p", "--by", "kim", "--again", patch)
-	run(commander.ExitStale, "/callers/guest/weight", "config", "patch", "--version", "1", patch)
+	run(commander.ExitOK, "applied", "config", "patch", "--base-version", "1", "--patch-id", "p", "--by", "kim", patch)
+	run(commander.ExitOK, "applied", "config", "patch", "--base-version", "1", "--patch-id", "p", "--by", "kim", "--again", patch)
+	run(commander.ExitStale, "/callers/guest/weight", "config", "patch", "--base-version", "1", patch)
 	is.NoErr(os.WriteFile(patch, []byte(`{"callers":{"guest":{"rank":"royal"}}}`), 0o600))
-	run(commander.ExitUsage, "/callers/guest/rank", "config", "patch", "--version", "2", patch)
+	run(commander.ExitUsage, "/callers/guest/rank", "config", "patch", "--base-version", "2", patch)
 	run(commander.ExitOK, "kim", "config", "history")
 	run(commander.ExitOK, "engine-3", "status")
 	run(commander.ExitOK, `"configuration":2`, "status", "--output", "json")
--- a/commander/config.go
+++ b/commander/config.go
@@ -29,7 +29,8 @@
 	patch := config.Command("patch", "Apply a JSON merge patch (RFC 7396). A patch written against an old version is refused with what changed since.")
 	c.operator.add(patch)
 	c.addOutput(patch)
-	version := patch.Flag("version", "Version that the patch was written against; 0 for the first configuration.").Required().Uint64()
+	// kingpin takes a flag named "version" for its own and then skips the defaults of all flags.
+	version := patch.Flag("base-version", "Version that the patch was written against; 0 for the first configuration.").Required().Uint64()
 	id := patch.Flag("patch-id", "Name of this patch; default: random. With the name of an earlier patch whose outcome was unknown, and --again, it is applied at most once.").String()
 	again := patch.Flag("again", "The patch was sent before and its outcome was unknown.").Bool()
 	by := patch.Flag("by", "Name of the operator, for the history.").Envar("USER").String()
@@ -80,6 +81,10 @@
 		administrator.HeaderOperator:    {p.by},
 	}
 	a, err := c.operator.call(ctx, http.MethodPatch, "/configuration", header, patch)
+	var coded exitError
+	if errors.As(err, &coded) {
+		return err
+	}
 	if err != nil {
 		return withCode(ExitUnknown, errors.Wrapf(err, "the outcome is unknown; ask again with --again --patch-id=%s", id))
 	}
--- a/commander/operator.go
+++ b/commander/operator.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"time"
 
@@ -47,6 +48,9 @@
 
 // call sends one request to the operators' listener.
 func (o *operatorFlags) call(ctx context.Context, method, path string, header http.Header, body []byte) (answer, error) {
+	if _, err := netip.ParseAddrPort(o.address); err != nil {
+		return answer{}, withCode(ExitUsage, errors.Wrap(err, "--operators"))
+	}
 	client, scheme, err := o.client()
 	if err != nil {
 		return answer{}, withCode(ExitUsage, err)
