assembler: Make the control cost a benchmark

Change: BenchmarkControlCost with the same steps; figures are reported as metrics. Before: one skipped test.

--- a/assembler/capacity_test.go
+++ b/assembler/capacity_test.go
@@ -17,7 +17,7 @@
 )
 
 var (
-	measureDaemons = flag.Int("measure-daemons", 0, "number of real daemons of one data centre whose control cost is measured; 0 measures nothing")
+	measureDaemons = flag.Int("measure-daemons", 32, "number of real daemons of one data centre whose control cost BenchmarkControlCost measures")
 	measureFor     = flag.Duration("measure-for", time.Minute, "length of the measurement")
 )
 
@@ -81,17 +81,14 @@
 // Measures processor time and memory of idle daemons with a configuration of the design size, one
 // change every 32 s included. It asserts nothing about them: no verdict depends on a measured figure.
 //
-//	go test ./assembler -run TestControlCost -measure-daemons 32 -v
-func TestControlCost(t *testing.T) {
-	if *measureDaemons == 0 {
-		t.Skip("measures only with -measure-daemons")
-	}
-	c := newCluster(t, *measureDaemons, "10ms", "0s")
+//	go test ./assembler -run '^$' -bench ControlCost -benchtime 1x -measure-daemons 32
+func BenchmarkControlCost(b *testing.B) {
+	c := newCluster(b, *measureDaemons, "10ms", "0s")
 	patch := c.designConfiguration()
-	t.Logf("configuration of %d bytes", len(patch))
+	b.Logf("configuration of %d bytes", len(patch))
 	code, answer := c.operator(0, http.MethodPatch, "/configuration", patch, http.Header{"If-Match": {`"1"`}, administrator.HeaderPatchID: {"design"}})
 	if code != http.StatusOK {
-		t.Fatalf("status %d: %.300s", code, answer)
+		b.Fatalf("status %d: %.300s", code, answer)
 	}
 	for i := range c.daemons {
 		c.await("the configuration is in force", func() bool { return c.version(i) == 2 })
@@ -121,9 +118,11 @@
 		total, most = total+used, max(most, used)
 		resident, largest = resident+now.resident, max(largest, now.resident)
 	}
-	n := len(c.daemons)
-	t.Logf("%d daemons, %s, %d changes: processor mean %.2f%% most %.2f%% of a core; resident mean %d MB most %d MB",
-		n, took.Round(time.Second), version-2, 100*total.Seconds()/took.Seconds()/float64(n), 100*most.Seconds()/took.Seconds(),
-		resident/n>>20, largest>>20)
-	c.is.Equal(c.version(n-1), version)
+	n := float64(len(c.daemons))
+	b.ReportMetric(100*total.Seconds()/took.Seconds()/n, "mean-%-of-a-core")
+	b.ReportMetric(100*most.Seconds()/took.Seconds(), "most-%-of-a-core")
+	b.ReportMetric(float64(resident)/n/(1<<20), "mean-MB")
+	b.ReportMetric(float64(largest)/(1<<20), "most-MB")
+	b.ReportMetric(float64(version-2), "changes")
+	c.is.Equal(c.version(len(c.daemons)-1), version)
 }
--- a/assembler/cluster_test.go
+++ b/assembler/cluster_test.go
@@ -55,7 +55,7 @@
 
 // cluster is a set of real processes on loopback.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	is       *is.I
 	dir      string
 	peerTLS  loader.TLS // the daemons prove themselves to each other
@@ -102,7 +102,7 @@
 }
 
 // newCluster starts fakes and daemons and submits a configuration.
-func newCluster(t *testing.T, daemons int, interval, orderDelay string) *cluster {
+func newCluster(t testing.TB, daemons int, interval, orderDelay string) *cluster {
 	t.Helper()
 	pid := os.Getpid()
 	c := &cluster{t: t, is: is.New(t), dir: t.TempDir()}
