director: Let the routers of the test bed go on when a mark is written again

A holder pauses between check and send, the engine restarts without its drain, and the successor writes the mark again with its own number. The fake then let the routers send work for another 3 s, as if the mark were new, and the late command of the former holder met that work. Ruled out: a mark cleared by the former holder, which a lower fencing number prevents since. On real daemons the endpoint stays marked without a gap when a notice is written again (gossiper.Table.Mark). Change: the fake keeps the time of a mark that stands already. No check or bound is changed. Conclusion: a fault of the test bed.

--- a/director/fake_test.go
+++ b/director/fake_test.go
@@ -184,9 +184,15 @@
 func (w *world) Mark(e namer.Endpoint, fencing namer.Fencing, changing bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if fencing >= w.marks[e].fencing {
-		w.marks[e] = mark{fencing, changing, time.Now()}
+	old := w.marks[e]
+	if fencing < old.fencing {
+		return
 	}
+	next := mark{fencing, changing, time.Now()}
+	if changing && old.changing {
+		next.at = old.at // routers that heed a mark go on when a successor writes it again
+	}
+	w.marks[e] = next
 }
 
 func (w *world) marked(e namer.Endpoint) (bool, time.Duration) {
