--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -22,8 +22,9 @@
 const Prefix = "gateways/"
 
 const (
-	// readPeriod is the time between two readings of the entries.
-	readPeriod = 2 * time.Second
+	// newsBound is the time within which a new daemon is known to the others. One that is gone is noticed by
+	// those that ask it.
+	newsBound = 5 * time.Second
 	// retryDelay is the pause before a failed write is repeated.
 	retryDelay = 500 * time.Millisecond
 	// leaveTimeout bounds the removal of the own entry.
@@ -59,7 +60,7 @@
 	a.once.Do(func() {
 		a.done = make(chan struct{})
 		a.follower = &follower.Follower{
-			Source: a.Reader, Prefix: Prefix, Poll: readPeriod, Readers: a.Readers, WithoutWatch: true, Log: a.Log,
+			Source: a.Reader, Prefix: Prefix, Bound: newsBound, Readers: a.Readers, WithoutWatch: true, Log: a.Log,
 		}
 	})
 }
--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/rs/zerolog"
 
 	"apricotspool/announcer"
 	"apricotspool/asserter"
@@ -50,7 +49,7 @@
 type Gateway struct {
 	Settings *loader.Gateway
 	Platform Platform
-	Log      zerolog.Logger
+	Log      *recorder.Bounded
 
 	once sync.Once
 	done chan struct{}
@@ -77,39 +76,43 @@
 
 // Reload takes changed settings. Addresses and the host's place hold until the process ends.
 func (g *Gateway) Reload(settings *loader.Gateway) {
-	g.Log.Info().Int("seeds", len(settings.Seeds)).Msg("settings-read")
+	g.Log.Events.Info().Int("seeds", len(settings.Seeds)).Msg("settings-read")
 }
 
 // connect builds the components from the settings.
 func (g *Gateway) connect(socket net.PacketConn) {
 	g.metrics = recorder.NewMetrics()
+	g.metrics.Gauge("apricotspool_requests_held", func() float64 { return float64(g.relayer.Held()) })
+	g.metrics.Gauge("apricotspool_log_lines_dropped", func() float64 { return float64(g.Log.Dropped()) })
+	g.metrics.Gauge("apricotspool_configuration_age_seconds", func() float64 { return g.config.Age().Seconds() })
+	g.metrics.Gauge("apricotspool_entries_age_seconds", func() float64 { return g.entries.Age().Seconds() })
 	store := g.Platform.Store(g.Settings.ObjectAPI, "", countCalls(g.metrics))
 	g.announcer = &announcer.Announcer{
-		Store: store, Reader: g.Platform.StaleReader(g.Settings.ObjectAPI, countCalls(g.metrics)), Log: g.Log,
+		Store: store, Reader: g.Platform.StaleReader(g.Settings.ObjectAPI, countCalls(g.metrics)), Log: g.Log.Events,
 		Self: announcer.Member{
 			Host: g.Settings.Host, DataCentre: g.Settings.DataCentre, Peers: g.Settings.Peers, Datagrams: g.Settings.Datagrams,
 		},
 	}
-	readers := &readers{self: g.Settings.Host, own: g.Settings.DataCentre, announcer: g.announcer, client: g.peerClient()}
+	readers := &readers{self: g.announcer.Self, seeds: g.Settings.Seeds, announcer: g.announcer, client: g.peerClient()}
 	g.announcer.Readers = readers
-	g.config = &follower.Follower{Source: store, Prefix: g.Platform.ConfigPrefix, Readers: readers, Log: g.Log}
-	g.entries = &follower.Follower{Source: store, Prefix: g.Platform.EntryPrefix, Readers: readers, Log: g.Log}
-	g.registrar = &registrar.Registrar{Listings: g.entries, Decode: g.Platform.DecodeEntry, Log: g.Log}
+	g.config = &follower.Follower{Source: store, Prefix: g.Platform.ConfigPrefix, Bound: g.Settings.News.Configuration.Std(), Readers: readers, Log: g.Log.Events}
+	g.entries = &follower.Follower{Source: store, Prefix: g.Platform.EntryPrefix, Bound: g.Settings.News.Endpoints.Std(), Readers: readers, Log: g.Log.Events}
+	g.registrar = &registrar.Registrar{Listings: g.entries, Decode: g.Platform.DecodeEntry, Log: g.Log.Events}
 	seed := xxhash.Sum64String(string(g.Settings.Host)) ^ uint64(time.Now().UnixNano())
 	core := &placer.Core{Self: g.Settings.Host, Seed: seed, Retries: placer.Retries{
 		Ratio: g.Settings.Retries.Ratio, Slack: g.Settings.Retries.Slack, Window: g.Settings.Retries.Window.Std(),
 	}}
-	g.datagrams = &messenger.Datagrams{Socket: socket, Log: g.Log}
+	g.datagrams = &messenger.Datagrams{Socket: socket, Log: g.Log.Events}
 	peers := &corePeers{self: g.Settings.Host, announcer: g.announcer, datagrams: g.datagrams}
-	g.dispatcher = &dispatcher.Dispatcher{Core: core, Retries: g.metrics, Peers: peers, Log: g.Log}
+	g.dispatcher = &dispatcher.Dispatcher{Core: core, Retries: g.metrics, Peers: peers, Log: g.Log.Events}
 	g.datagrams.Receive = peers.receiver(core, g.dispatcher)
 	g.fleet = &routedFleet{
 		settings: g.Settings, platform: g.Platform, config: g.config, registrar: g.registrar, announcer: g.announcer,
-		dispatcher: g.dispatcher, log: g.Log,
+		dispatcher: g.dispatcher, log: g.Log.Events,
 	}
 	g.relayer = &relayer.Relayer{
 		Table: g.fleet.Table, Target: g.fleet.Target, Dialect: g.Platform.Dialect, Dispatcher: g.dispatcher,
-		Endpoints: &forwarder.Client{EchoHeader: g.Platform.EchoHeader}, Metrics: g.metrics, Log: g.Log,
+		Endpoints: &forwarder.Client{EchoHeader: g.Platform.EchoHeader}, Metrics: g.metrics, Log: g.Log.Requests,
 	}
 }
 
--- a/assembler/gateway_test.go
+++ b/assembler/gateway_test.go
@@ -23,6 +23,7 @@
 	"apricotspool/namer"
 	"apricotspool/platform"
 	"apricotspool/platform/platformtest"
+	"apricotspool/recorder"
 )
 
 // site is a small deployment on loopback: a store, servers and gateways.
@@ -141,7 +142,7 @@
 
 func (s *site) start(settings *loader.Gateway) *gateway {
 	g := &gateway{
-		Gateway:  &assembler.Gateway{Settings: settings, Platform: platform.Adapter(), Log: zerolog.Nop()},
+		Gateway:  &assembler.Gateway{Settings: settings, Platform: platform.Adapter(), Log: recorder.NewBounded(io.Discard, zerolog.InfoLevel)},
 		settings: settings, ended: make(chan error, 1),
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -393,6 +394,50 @@
 	}
 }
 
+// metric returns the value of a metric; one that isn't there yet is 0.
+func (g *gateway) metric(name string) string {
+	answer, err := http.Get("http://" + g.settings.Health.String() + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			return strings.TrimSpace(value)
+		}
+	}
+	return "0"
+}
+
+// Guards against a fleet whose daemons all read the object API when they start together: its rates are
+// shared, and each call has a price.
+func TestGatewaysStartFromTheirSeeds(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.usual()
+	s.server("app-1", "app", "")
+	seed := s.settings("g-1")
+	seed.Seeds = []netip.AddrPort{seed.Peers}
+	first := s.start(seed)
+	eventually(t, "readiness of the seed", first.ready)
+	is.True(first.metric(`apricotspool_object_api_calls_total{kind="list"}`) != "0")
+	for _, name := range []string{"g-2", "g-3"} {
+		settings := s.settings(name)
+		settings.Seeds = seed.Seeds
+		g := s.start(settings)
+		eventually(t, "readiness", g.ready)
+		is.Equal(g.metric(`apricotspool_object_api_calls_total{kind="list"}`), "0")
+	}
+	lost := s.settings("g-4")
+	lost.Seeds = []netip.AddrPort{free(t)}
+	g := s.start(lost)
+	eventually(t, "readiness without seeds", g.ready)
+}
+
 // Guards against traffic that stops while the object API is away, and against news that are missed
 // after its return.
 func TestGatewayWithoutObjectAPI(t *testing.T) {
--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -36,7 +36,7 @@
 		defer server.Close()
 		go func() { failed <- server.Serve(listener) }()
 	}
-	g.Log.Info().Str("host", string(g.Settings.Host)).Msg("daemon-started")
+	g.Log.Events.Info().Str("host", string(g.Settings.Host)).Msg("daemon-started")
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
@@ -95,7 +95,8 @@
 
 // tree supervises the components.
 func (g *Gateway) tree() *supervisor.Supervisor {
-	return &supervisor.Supervisor{Log: g.Log, Children: []supervisor.Child{
+	return &supervisor.Supervisor{Log: g.Log.Events, Children: []supervisor.Child{
+		{Name: "log", Part: g.Log},
 		{Name: "configuration", Part: g.config},
 		{Name: "entries", Part: g.entries},
 		{Name: "registrar", Part: g.registrar},
@@ -113,8 +114,13 @@
 	return mux
 }
 
+// metricsPath is where the health listener gives the metrics.
+const metricsPath = "/metrics"
+
 func (g *Gateway) serveHealth(w http.ResponseWriter, r *http.Request) {
 	switch {
+	case r.URL.Path == metricsPath:
+		g.metrics.Write(w)
 	case r.URL.Path != g.Platform.ReadinessPath:
 		w.WriteHeader(http.StatusNotFound)
 	case g.draining.Load() || !g.fleet.Ready():
@@ -131,7 +137,7 @@
 // finishes every accepted request within the grace period.
 func (g *Gateway) shutDown(front *http.Server) {
 	began := time.Now()
-	g.Log.Info().Int("requests", g.relayer.Held()).Msg("drain-started")
+	g.Log.Events.Info().Int("requests", g.relayer.Held()).Msg("drain-started")
 	g.draining.Store(true)
 	g.relayer.SetDraining()
 	go g.announcer.Leave()
@@ -139,9 +145,9 @@
 	limit, cancel := context.WithDeadline(context.Background(), began.Add(g.Settings.Drain.Limit.Std()-exitMargin))
 	defer cancel()
 	if err := front.Shutdown(limit); err != nil {
-		g.Log.Error().Int("requests", g.relayer.Held()).Msg("drain-limit-passed")
+		g.Log.Events.Error().Int("requests", g.relayer.Held()).Msg("drain-limit-passed")
 		front.Close()
 		return
 	}
-	g.Log.Info().Msg("drain-finished")
+	g.Log.Events.Info().Msg("drain-finished")
 }
--- a/assembler/readers.go
+++ b/assembler/readers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,66 +13,85 @@
 	"apricotspool/announcer"
 	"apricotspool/follower"
 	"apricotspool/messenger"
-	"apricotspool/namer"
 )
 
 const (
 	syncProcedure = "/apricotspool.Follower/Sync"
 	// avoidTime is how long a daemon that did not answer is left out.
 	avoidTime = 2 * time.Second
-	// oldReply is the age from which a daemon's copy is not taken as that of a reader.
-	oldReply = 1500 * time.Millisecond
 )
 
-// readers chooses the daemons that read the object API for the others: one in each data centre.
+// readers chooses the daemons that read the object API for the others: one in each data centre. A daemon
+// that doesn't know the others yet asks the seeds.
 type readers struct {
-	self      namer.Host
-	own       namer.DataCentre
+	self      announcer.Member
+	seeds     []netip.AddrPort
 	announcer *announcer.Announcer
 	client    *messenger.Client
 
 	mu    sync.Mutex
-	avoid map[namer.Host]time.Time
+	avoid map[netip.AddrPort]time.Time
 }
 
 var _ follower.Readers = (*readers)(nil)
 
 // Reads reports whether this daemon reads.
 func (r *readers) Reads() bool {
-	first, known := r.first()
-	return !known || first.Host == r.self
+	return r.reader() == r.self.Peers
 }
 
-// first returns the reader of the own data centre: of the daemons that answer, the one that ranks first.
-func (r *readers) first() (announcer.Member, bool) {
+// reader returns the address of the daemon that reads for this one, or its own. In the own data centre it
+// is the one that ranks first of the daemons that answer.
+func (r *readers) reader() netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var first announcer.Member
+	members := r.announcer.Members()
+	if len(members) == 0 {
+		return r.seed()
+	}
+	reader := r.self.Peers
 	var most uint64
-	for _, m := range r.announcer.Members() {
-		if m.DataCentre != r.own || (m.Host != r.self && time.Now().Before(r.avoid[m.Host])) {
+	for _, m := range members {
+		if m.DataCentre != r.self.DataCentre || (m.Host != r.self.Host && r.avoided(m.Peers)) {
 			continue
 		}
-		if rank := xxhash.Sum64String(string(m.Host)); first.Host == "" || rank > most {
-			first, most = m, rank
+		if rank := xxhash.Sum64String(string(m.Host)); rank >= most {
+			reader, most = m.Peers, rank
 		}
 	}
-	return first, first.Host != ""
+	return reader
 }
 
-// Sync asks the reader of the own data centre.
+// seed returns the first seed that answers, beginning with another one at each host. A seed reads for
+// itself.
+func (r *readers) seed() netip.AddrPort {
+	if slices.Contains(r.seeds, r.self.Peers) {
+		return r.self.Peers
+	}
+	first := xxhash.Sum64String(string(r.self.Host))
+	for i := range r.seeds {
+		if seed := r.seeds[(first+uint64(i))%uint64(len(r.seeds))]; !r.avoided(seed) {
+			return seed
+		}
+	}
+	return r.self.Peers
+}
+
+func (r *readers) avoided(address netip.AddrPort) bool { return time.Now().Before(r.avoid[address]) }
+
+// Sync asks the reader.
 func (r *readers) Sync(ctx context.Context, request *follower.SyncRequest) (*follower.SyncReply, error) {
-	first, known := r.first()
-	if !known || first.Host == r.self {
+	reader := r.reader()
+	if reader == r.self.Peers {
 		return nil, errors.New("no other daemon reads")
 	}
-	reply, err := messenger.Call[follower.SyncRequest, follower.SyncReply](ctx, r.client, first.Peers, syncProcedure, request)
-	if err != nil || !reply.Ready || reply.Age > oldReply+request.Wait {
+	reply, err := messenger.Call[follower.SyncRequest, follower.SyncReply](ctx, r.client, reader, syncProcedure, request)
+	if err != nil || !reply.Ready || reply.Age > request.MaxAge {
 		r.mu.Lock()
 		if r.avoid == nil {
-			r.avoid = map[namer.Host]time.Time{}
+			r.avoid = map[netip.AddrPort]time.Time{}
 		}
-		r.avoid[first.Host] = time.Now().Add(avoidTime)
+		r.avoid[reader] = time.Now().Add(avoidTime)
 		r.mu.Unlock()
 	}
 	return reply, err
--- a/commander/gateway.go
+++ b/commander/gateway.go
@@ -31,7 +31,9 @@
 	if err != nil {
 		return withCode(ExitUsage, err)
 	}
-	daemon := &assembler.Gateway{Settings: settings, Platform: platform.Adapter(), Log: recorder.NewLogger(c.err).Level(level)}
+	log := recorder.NewBounded(c.out, level)
+	defer log.Close()
+	daemon := &assembler.Gateway{Settings: settings, Platform: platform.Adapter(), Log: log}
 	go reload(ctx, name, daemon)
 	return daemon.Run(ctx)
 }
@@ -49,7 +51,7 @@
 		}
 		settings, err := loader.LoadGateway(name)
 		if err != nil {
-			daemon.Log.Error().Err(err).Str("file", name).Msg("settings-refused")
+			daemon.Log.Events.Error().Err(err).Str("file", name).Msg("settings-refused")
 			continue
 		}
 		daemon.Reload(settings)
--- a/decider/event.go
+++ b/decider/event.go
@@ -121,6 +121,8 @@
 	ActionPrefill
 	// ActionSend sends Message to the core of the daemon To.
 	ActionSend
+	// ActionReport says that the core believes something else than before about an endpoint or daemon.
+	ActionReport
 )
 
 // Action is a decision that the owner of a Core carries out.
@@ -145,4 +147,30 @@
 	Message any
 	// Retry names why a dispatch repeats an earlier attempt; empty for the first.
 	Retry classifier.RetryReason
+	// Basis is what the decision rests on, for the log.
+	Basis Basis
+	// Report is the news of ActionReport about Endpoint or To; it holds for Lasting, if that isn't 0.
+	Report  Report
+	Lasting time.Duration
 }
+
+// Basis is what a decision about a request rests on.
+type Basis struct {
+	Expected time.Duration // until the first event
+	Waiting  time.Duration // for work at the endpoint that goes first
+	NewsAge  time.Duration // of what is known of the endpoint's work
+	Declined int           // endpoints that were asked and had no place
+	Usable   int           // of a refusal: endpoints that could take requests at all
+	Late     bool          // the first event can't be on time
+}
+
+// Report names what a core has come to believe.
+type Report string
+
+// The reports of a core.
+const (
+	EndpointEjected  Report = "endpoint-ejected"  // it gets no requests for a while
+	EndpointReturned Report = "endpoint-returned" // it has served a request after an ejection
+	DaemonSilent     Report = "daemon-silent"     // it is not asked for places for a while
+	DaemonAnswers    Report = "daemon-answers"    // again
+)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -160,6 +160,11 @@
 			d.Peers.Send(a.To, a.Message)
 			continue
 		}
+		if a.Kind == decider.ActionReport {
+			d.Log.Info().Str("endpoint", string(a.Endpoint)).Str("daemon", string(a.To)).
+				Str("reason", string(a.Retry)).Dur("lasting", a.Lasting).Msg(string(a.Report))
+			continue
+		}
 		t := d.tickets[a.Request]
 		if t == nil {
 			// The request ended while the core decided; only a cancellation may still concern it.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -19,13 +19,20 @@
 )
 
 const (
-	// DefaultPoll is the time between two readings of the whole list. A change that the watch misses is
-	// known after this time, within the two seconds that a configuration may take.
-	DefaultPoll = 800 * time.Millisecond
-	// staleAfter is the age of the last confirmation from which a daemon reads for itself.
-	staleAfter = 1600 * time.Millisecond
-	// syncWait is how long a reader holds a call when nothing changes.
-	syncWait = 500 * time.Millisecond
+	// DefaultBound is the time within which a change is known where the settings don't say.
+	DefaultBound = 2 * time.Second
+	// pollPart of the bound is the time between two readings of the whole list. A change that the watch
+	// misses is known after this time.
+	pollPart = 0.4
+	// stalePart of the bound is the age of the last confirmation from which a daemon reads for itself.
+	stalePart = 0.8
+	// waitPart of the bound is how long a reader holds a call when nothing changes.
+	waitPart = 0.25
+	// hedgePart of the bound is when a list that has no answer yet is asked for once more, on another
+	// connection: the first one may have gone silent in a cut. Slow answers are still taken.
+	hedgePart = 0.25
+	// maxHedges bounds the lists that are asked for at a time.
+	maxHedges = 4
 	// syncSlack is the time beyond its wait after which a call to a reader counts as lost.
 	syncSlack = 300 * time.Millisecond
 	// checkPeriod is how often a daemon that follows another one looks at the age of its copy.
@@ -34,11 +41,6 @@
 	// at the end of a cut, when a daemon has less than a second to hear of the endpoints that have left.
 	minDelay = 100 * time.Millisecond
 	maxDelay = 200 * time.Millisecond
-	// hedgeAfter is when a list that has no answer yet is asked for once more, on another connection: the
-	// first one may have gone silent in a cut. Slow answers are still taken.
-	hedgeAfter = 500 * time.Millisecond
-	// maxHedges bounds the lists that are asked for at a time.
-	maxHedges = 4
 )
 
 // Readers are the daemons that read the object API for the others.
@@ -51,10 +53,11 @@
 
 // Follower follows the objects below a prefix. Set the exported fields before Run.
 type Follower struct {
-	Source  storer.Reader
-	Prefix  string
-	Poll    time.Duration // 0 means DefaultPoll
-	Readers Readers       // nil makes this daemon read
+	Source storer.Reader
+	Prefix string
+	// Bound is the time within which a change must be known; 0 means DefaultBound.
+	Bound   time.Duration
+	Readers Readers // nil makes this daemon read
 	// WithoutWatch leaves it at reading the list.
 	WithoutWatch bool
 	Log          zerolog.Logger
@@ -65,6 +68,7 @@
 
 	mu        sync.Mutex // guards the fields below; never held over a call
 	state     state
+	started   time.Time
 	confirmed time.Time // when the object API last confirmed the copy
 	answered  time.Time // when the object API last answered
 	failing   bool
@@ -100,6 +104,9 @@
 func (f *Follower) Run(ctx context.Context) error {
 	f.init()
 	defer close(f.done)
+	f.mu.Lock()
+	f.started = time.Now()
+	f.mu.Unlock()
 	var parts sync.WaitGroup
 	parts.Go(func() { f.poll(ctx) })
 	parts.Go(func() { f.follow(ctx) })
@@ -109,15 +116,33 @@
 
 func (f *Follower) reads() bool { return f.Readers == nil || f.Readers.Reads() }
 
+// part returns a part of the bound.
+func (f *Follower) part(p float64) time.Duration {
+	bound := f.Bound
+	if bound == 0 {
+		bound = DefaultBound
+	}
+	return time.Duration(p * float64(bound))
+}
+
+// stale reports whether nobody has confirmed the copy for too long. A daemon that has just started
+// leaves its readers as much time as later.
+func (f *Follower) stale() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := f.confirmed
+	if since.Before(f.started) {
+		since = f.started
+	}
+	return time.Since(since) >= f.part(stalePart)
+}
+
 // poll reads the list once a period, or when the copy of a daemon that doesn't read is too old.
 func (f *Follower) poll(ctx context.Context) {
-	period := f.Poll
-	if period == 0 {
-		period = DefaultPoll
-	}
+	period := f.part(pollPart)
 	delay := minDelay
 	for ctx.Err() == nil {
-		if !f.reads() && f.age() < staleAfter+period-DefaultPoll {
+		if !f.reads() && !f.stale() {
 			sleep(ctx, checkPeriod)
 			continue
 		}
@@ -133,7 +158,8 @@
 	}
 }
 
-func (f *Follower) age() time.Duration {
+// Age returns the time since the object API last confirmed the copy.
+func (f *Follower) Age() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return time.Since(f.confirmed)
@@ -150,7 +176,7 @@
 		go func() { results <- f.read(ctx) }()
 	}
 	start()
-	again := time.NewTicker(hedgeAfter)
+	again := time.NewTicker(f.part(hedgePart))
 	defer again.Stop()
 	for {
 		select {
@@ -240,6 +266,7 @@
 	f.answered = time.Now()
 	if f.failing {
 		f.failing, f.outageEnd = false, f.answered
+		f.Log.Info().Str("prefix", f.Prefix).Uint64("version", uint64(f.state.version)).Msg("object-api-answers")
 	}
 	if confirmed.After(f.confirmed) {
 		f.confirmed = confirmed
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -17,7 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newSource()
-		f := &follower.Follower{Source: store, Prefix: prefix, Poll: time.Hour}
+		f := &follower.Follower{Source: store, Prefix: prefix, Bound: 3 * time.Hour}
 		run(t, f)
 		time.Sleep(time.Second)
 		changed := f.Changed()
@@ -50,13 +50,38 @@
 	})
 }
 
+// Guards against news that are late where the deployment wants them sooner, and against calls that
+// nobody needs where later is enough.
+func TestNewsKeepToTheirBound(t *testing.T) {
+	for _, bound := range []time.Duration{500 * time.Millisecond, 2 * time.Second, 10 * time.Second} {
+		t.Run(bound.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newSource()
+				store.set(true, nil)
+				f := &follower.Follower{Source: store, Prefix: prefix, Bound: bound}
+				run(t, f)
+				for range 5 {
+					store.put(t, "a")
+					time.Sleep(bound)
+					is.Equal(names(f.Listing()), 1)
+					store.remove(t, "a")
+					time.Sleep(bound)
+					is.Equal(names(f.Listing()), 0)
+				}
+				is.True(store.count() <= 10*4) // lists and watches in ten bounds
+			})
+		})
+	}
+}
+
 // Guards against a follower that misses what happened in a history that the store has dropped.
 func TestHistoryGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := newSource()
 		store.put(t, "a")
-		f := &follower.Follower{Source: store, Prefix: prefix, Poll: time.Hour}
+		f := &follower.Follower{Source: store, Prefix: prefix, Bound: 3 * time.Hour}
 		run(t, f)
 		time.Sleep(time.Second)
 		is.Equal(names(f.Listing()), 1)
@@ -133,7 +158,6 @@
 		run(t, f)
 		time.Sleep(time.Second)
 		is.Equal(names(f.Listing()), 1)
-		calls := unused.count()
 		store.put(t, "b")
 		synctest.Wait()
 		is.Equal(names(f.Listing()), 2)
@@ -141,7 +165,7 @@
 		synctest.Wait()
 		is.Equal(names(f.Listing()), 1)
 		time.Sleep(20 * time.Second)
-		is.Equal(unused.count(), calls) // it reads nothing for itself
+		is.Equal(unused.count(), 0) // it reads nothing for itself, at its start neither
 	})
 }
 
--- a/follower/sync.go
+++ b/follower/sync.go
@@ -13,6 +13,7 @@
 	Prefix string
 	Known  storer.Version // 0 asks for everything
 	Wait   time.Duration  // how long to hold the call while nothing changes
+	MaxAge time.Duration  // from which an answer is of no use
 }
 
 // SyncReply is the answer.
@@ -31,9 +32,9 @@
 // sync gets the changes from a daemon that reads.
 func (f *Follower) sync(ctx context.Context) {
 	known, _ := f.since()
-	callCtx, cancel := context.WithTimeout(ctx, syncWait+syncSlack)
+	callCtx, cancel := context.WithTimeout(ctx, f.part(waitPart)+syncSlack)
 	defer cancel()
-	reply, err := f.Readers.Sync(callCtx, &SyncRequest{Prefix: f.Prefix, Known: known, Wait: syncWait})
+	reply, err := f.Readers.Sync(callCtx, &SyncRequest{Prefix: f.Prefix, Known: known, Wait: f.part(waitPart), MaxAge: f.part(1)})
 	if err != nil || !reply.Ready {
 		f.Log.Debug().Err(err).Str("prefix", f.Prefix).Msg("sync-failed")
 		sleep(ctx, minDelay)
@@ -72,7 +73,7 @@
 // Serve answers a daemon that follows this one. It holds the call while nothing changes.
 func (f *Follower) Serve(ctx context.Context, request *SyncRequest) *SyncReply {
 	f.init()
-	timer := time.NewTimer(min(request.Wait, syncWait))
+	timer := time.NewTimer(min(request.Wait, f.part(waitPart)))
 	defer timer.Stop()
 	for {
 		reply, changed := f.reply(request.Known)
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -36,6 +36,8 @@
 	ObjectAPI netip.AddrPort `json:"object-api"`
 	// Drain bounds a graceful shutdown. Limit is the time from the request to the end of the process.
 	Drain Drain `json:"drain,omitzero"`
+	// News bounds the time within which changes are known to all daemons.
+	News News `json:"news,omitzero"`
 	// Retries bounds the repeated attempts of all daemons together.
 	Retries Retries `json:"retries,omitzero"`
 	// MemoryMB is the memory, in MB, at which the process is ended; 0 means no limit.
@@ -46,6 +48,12 @@
 	LogLevel string `json:"log-level,omitempty"`
 }
 
+// News bounds the age of what a daemon goes by; 0 means DefaultNews.
+type News struct {
+	Configuration namer.Duration `json:"configuration,omitzero"`
+	Endpoints     namer.Duration `json:"endpoints,omitzero"`
+}
+
 // Retries bounds repeated attempts: in any window a service gets at most Ratio of its requests plus
 // Slack.
 type Retries struct {
@@ -58,6 +66,7 @@
 const (
 	DefaultGatewayNotice = 3 * time.Second
 	DefaultGatewayLimit  = 8 * time.Second
+	DefaultNews          = 2 * time.Second
 	DefaultRetryRatio    = 0.1
 	DefaultRetrySlack    = 20
 	DefaultRetryWindow   = 10 * time.Second
@@ -101,6 +110,8 @@
 	}
 	c.timeout("/drain/notice", g.Drain.Notice)
 	c.timeout("/drain/limit", g.Drain.Limit)
+	c.timeout("/news/configuration", g.News.Configuration)
+	c.timeout("/news/endpoints", g.News.Endpoints)
 	c.require(g.Retries.Ratio >= 0 && g.Retries.Ratio <= 1, "/retries/ratio", g.Retries.Ratio, "allowed are 0 to 1")
 	c.require(g.Retries.Slack >= 0, "/retries/slack", g.Retries.Slack, "must not be negative")
 	c.timeout("/retries/window", g.Retries.Window)
@@ -121,6 +132,12 @@
 	if g.Retries.Window == 0 {
 		g.Retries = Retries{Ratio: DefaultRetryRatio, Slack: DefaultRetrySlack, Window: namer.Duration(DefaultRetryWindow)}
 	}
+	if g.News.Configuration == 0 {
+		g.News.Configuration = namer.Duration(DefaultNews)
+	}
+	if g.News.Endpoints == 0 {
+		g.News.Endpoints = namer.Duration(DefaultNews)
+	}
 	if g.LogLevel == "" {
 		g.LogLevel = "info"
 	}
--- a/placer/core.go
+++ b/placer/core.go
@@ -151,7 +151,7 @@
 	q := &request{Request: r, pool: c.pools[r.Service], arrived: at, deadline: c.seconds(r.Deadline)}
 	c.requests[r.ID] = q
 	if q.pool == nil {
-		c.refuse(q, classifier.NoEndpoint, noEndpointRetry)
+		c.refuse(at, q, classifier.NoEndpoint, noEndpointRetry)
 		return c.actions
 	}
 	q.pool.budget.arrived(at, c.Retries)
@@ -169,7 +169,7 @@
 )
 
 // refuse ends a request. An outcome that says "not-run" is only given when no endpoint can have run it.
-func (c *Core) refuse(q *request, outcome classifier.Outcome, retryAfter time.Duration) {
+func (c *Core) refuse(now namer.Seconds, q *request, outcome classifier.Outcome, retryAfter time.Duration) {
 	asserter.Check(q.stage == waiting, "only a request without an attempt is refused", "request %s", q.ID)
 	if q.mayRun {
 		outcome = classifier.EndpointFailed
@@ -177,10 +177,24 @@
 	c.actions = append(c.actions, decider.Action{
 		Kind: decider.ActionRefuse, Request: q.ID, Outcome: outcome,
 		RetryAfter: time.Duration(float64(retryAfter) * (0.75 + 0.5*c.random.Float64())),
+		Basis:      decider.Basis{Declined: len(q.declined), Usable: c.usable(now, q), Late: q.late},
 	})
 	c.forget(q)
 }
 
+// usable counts the endpoints that could take a request.
+func (c *Core) usable(now namer.Seconds, q *request) int {
+	n := 0
+	if q.pool != nil {
+		for _, e := range q.pool.endpoints {
+			if e.usable(now, q.Idempotent) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (c *Core) forget(q *request) {
 	delete(c.asks, q.reservation)
 	delete(c.requests, q.ID)
--- a/placer/fault_test.go
+++ b/placer/fault_test.go
@@ -170,3 +170,33 @@
 	unknown := f.arrive(f.hosts[0], check)
 	is.Equal(unknown.outcome, classifier.NoEndpoint)
 }
+
+// Guards against beliefs that change without a word: an operator can't tell why an endpoint gets no
+// requests, or why places are granted elsewhere.
+func TestBeliefsAreReported(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 2, 3)
+	f.load(check, 80, 6*time.Second)
+	f.run(time.Second)
+	f.crash(f.names[0], 500*time.Millisecond)
+	f.hosts[1].down = true
+	f.run(2 * time.Second)
+	f.hosts[1].down = false
+	f.run(8 * time.Second)
+	of := func(report decider.Report, about string) int {
+		n := 0
+		for _, a := range f.reports {
+			if a.Report == report && string(a.Endpoint)+string(a.To) == about {
+				n++
+			}
+		}
+		return n
+	}
+	crashed, down := string(f.names[0]), string(f.hosts[1].name)
+	is.True(of(decider.EndpointEjected, crashed) > 0)
+	is.True(of(decider.EndpointReturned, crashed) > 0)
+	is.True(of(decider.DaemonSilent, down) > 0)
+	is.True(of(decider.DaemonAnswers, down) > 0)
+	is.Equal(len(f.reports), of(decider.EndpointEjected, crashed)+of(decider.EndpointReturned, crashed)+
+		of(decider.DaemonSilent, down)+of(decider.DaemonAnswers, down)) // nothing about those that were well
+}
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -32,6 +32,7 @@
 	// lose decides which messages between daemons get lost, if set.
 	lose func(from, to namer.Host) bool
 
+	reports  []decider.Action // what the cores have come to believe
 	requests map[namer.StreamID]*attempted
 	all      []*attempted
 }
@@ -193,6 +194,10 @@
 			f.carry(h, a)
 			continue
 		}
+		if a.Kind == decider.ActionReport {
+			f.reports = append(f.reports, a)
+			continue
+		}
 		r := f.requests[a.Request]
 		switch a.Kind {
 		case decider.ActionRefuse:
--- a/placer/health.go
+++ b/placer/health.go
@@ -40,24 +40,27 @@
 // ended lets another request try the endpoint when the last one came to no result.
 func (h *health) ended() { h.probing = false }
 
-func (h *health) succeeded() {
+// succeeded reports whether the endpoint is back from an ejection.
+func (h *health) succeeded() bool {
+	returned := h.period > 0
 	h.failures /= 2
 	h.period, h.probing = 0, false
+	return returned
 }
 
-func (h *health) failed(now namer.Seconds, weight float64) {
+// failed reports whether the failure ejects the endpoint.
+func (h *health) failed(now namer.Seconds, weight float64) bool {
 	h.failures += weight
-	if h.failures >= ejectAt || h.probing {
-		h.eject(now)
-	}
+	return (h.failures >= ejectAt || h.probing) && h.eject(now)
 }
 
-// eject takes the endpoint out for a while.
-func (h *health) eject(now namer.Seconds) {
+// eject takes the endpoint out for a while, unless it is out.
+func (h *health) eject(now namer.Seconds) bool {
 	if h.period > 0 && now < h.until {
-		return // failures of requests that were sent before
+		return false // failures of requests that were sent before
 	}
 	h.period = min(max(2*h.period, minEjection), maxEjection)
 	h.until = now + h.period
 	h.failures, h.probing = 0, false
+	return true
 }
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -19,7 +19,7 @@
 	switch e.Kind {
 	case decider.EventPrefilled:
 		if q.stage == prefilling {
-			q.at.health.succeeded()
+			c.praise(q.at)
 			c.release(at, q)
 			c.generate(at, q)
 		}
@@ -28,7 +28,7 @@
 	case decider.EventFinished:
 		c.began(at, q)
 		if q.at != nil && e.Reason == "" {
-			q.at.health.succeeded()
+			c.praise(q.at)
 		} else if q.at != nil {
 			c.blame(at, q.at, e.Reason)
 		}
@@ -85,9 +85,9 @@
 		// The request goes on where its memory was copied to; it runs only once.
 		c.commit(now, q, choice{at: backup, fromBackup: true}, false)
 	case q.mayRun && !q.Idempotent:
-		c.refuse(q, classifier.EndpointFailed, 0)
+		c.refuse(now, q, classifier.EndpointFailed, 0)
 	case !paid || q.sends >= max(1, q.Attempts):
-		c.refuse(q, classifier.EndpointRefused, refusedRetry)
+		c.refuse(now, q, classifier.EndpointRefused, refusedRetry)
 	default:
 		q.declined, q.late = nil, false
 		c.place(now, q)
@@ -97,15 +97,28 @@
 // maxTries bounds the endpoints that one request is tried at, those included that could not be reached.
 const maxTries = 4
 
+// praise accounts for a success at its endpoint.
+func (c *Core) praise(e *endpoint) {
+	if e.health.succeeded() {
+		c.actions = append(c.actions, decider.Action{Kind: decider.ActionReport, Report: decider.EndpointReturned, Endpoint: e.view.Name})
+	}
+}
+
 // blame accounts for a failure at its endpoint.
 func (c *Core) blame(now namer.Seconds, e *endpoint, reason classifier.RetryReason) {
+	var ejected bool
 	switch reason {
 	case classifier.RetryConnectFailed, classifier.RetryEndpointLeaving, classifier.RetryEndpointSilent:
-		e.health.eject(now)
+		ejected = e.health.eject(now)
 	case classifier.RetryEndpointRefused, classifier.RetryEndpointFailed:
-		e.health.failed(now, 0.5)
+		ejected = e.health.failed(now, 0.5)
 	default:
-		e.health.failed(now, 1)
+		ejected = e.health.failed(now, 1)
+	}
+	if ejected {
+		c.actions = append(c.actions, decider.Action{
+			Kind: decider.ActionReport, Report: decider.EndpointEjected, Endpoint: e.view.Name, Retry: reason, Lasting: e.health.period.Duration(),
+		})
 	}
 }
 
@@ -118,7 +131,7 @@
 		if at-q.asked < askTimeout {
 			continue
 		}
-		q.keeper.silent(at)
+		c.silent(at, q.keeper)
 		delete(c.asks, reservation)
 		q.asking = nil
 		c.place(at, q)
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -62,20 +62,26 @@
 	return best // this daemon is never silent to itself
 }
 
+// alive takes note of a daemon's answer.
 func (c *Core) alive(host namer.Host) {
 	for _, m := range c.members {
-		if m.Host == host {
+		if m.Host == host && m.silence > 0 {
 			m.silence, m.silentUntil = 0, 0
+			c.actions = append(c.actions, decider.Action{Kind: decider.ActionReport, Report: decider.DaemonAnswers, To: host})
 		}
 	}
 }
 
-func (m *member) silent(now namer.Seconds) {
+// silent takes note of a daemon that hasn't answered.
+func (c *Core) silent(now namer.Seconds, m *member) {
 	if now < m.silentUntil {
 		return
 	}
 	m.silence = min(max(2*m.silence, minSilence), maxSilence)
 	m.silentUntil = now + m.silence
+	c.actions = append(c.actions, decider.Action{
+		Kind: decider.ActionReport, Report: decider.DaemonSilent, To: m.Host, Lasting: m.silence.Duration(),
+	})
 }
 
 func (c *Core) send(to namer.Host, message Message) {
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -10,11 +10,12 @@
 
 // choice is where a request goes.
 type choice struct {
-	at         *endpoint // nil when no endpoint may take the request
-	prefill    bool      // only the prompt is processed there
-	fetch      *endpoint // holds the leading parts of the prompt, as far as any engine does
-	fromBackup bool      // a copy of the request's memory is there
-	fetched    bool      // the leading parts are expected to come from there
+	at         *endpoint     // nil when no endpoint may take the request
+	prefill    bool          // only the prompt is processed there
+	fetch      *endpoint     // holds the leading parts of the prompt, as far as any engine does
+	fromBackup bool          // a copy of the request's memory is there
+	fetched    bool          // the leading parts are expected to come from there
+	expected   namer.Seconds // until the first event, with what is added for the order of preference
 	budget     namer.Seconds
 	late       bool // the first event can't be on time
 	busy       bool // there are endpoints, but they have too much work
@@ -125,7 +126,7 @@
 }
 
 func chosen(b best, h homes, left namer.Seconds) choice {
-	found := choice{at: b.at, prefill: b.at.view.Role == namer.RolePrefill, budget: left}
+	found := choice{at: b.at, prefill: b.at.view.Role == namer.RolePrefill, expected: b.score, budget: left}
 	if found.prefill {
 		found.budget -= transfer
 	}
--- a/placer/place.go
+++ b/placer/place.go
@@ -21,13 +21,13 @@
 		found := c.pick(now, q)
 		switch {
 		case found.at == nil && found.busy:
-			c.refuse(q, classifier.TargetUnreachable, busyRetry)
+			c.refuse(now, q, classifier.TargetUnreachable, busyRetry)
 			return
 		case found.at == nil:
-			c.refuse(q, classifier.NoEndpoint, noEndpointRetry)
+			c.refuse(now, q, classifier.NoEndpoint, noEndpointRetry)
 			return
 		case len(q.declined) >= maxAsks && q.late:
-			c.refuse(q, classifier.TargetUnreachable, busyRetry)
+			c.refuse(now, q, classifier.TargetUnreachable, busyRetry)
 			return
 		case len(q.declined) >= maxAsks:
 			// Nobody has a place in time; one more round is for what the others leave.
@@ -51,7 +51,7 @@
 func (c *Core) placePlain(now namer.Seconds, q *request) {
 	e := c.pickPlain(now, q)
 	if e == nil {
-		c.refuse(q, classifier.NoEndpoint, noEndpointRetry)
+		c.refuse(now, q, classifier.NoEndpoint, noEndpointRetry)
 		return
 	}
 	c.commit(now, q, choice{at: e}, true)
@@ -139,6 +139,7 @@
 	e.health.sent()
 	action := decider.Action{
 		Kind: decider.ActionDispatch, Request: q.ID, Attempt: q.attempt, Endpoint: e.view.Name, Priority: q.class(), Retry: q.reason,
+		Basis: q.basis(now, found),
 	}
 	q.stage = running
 	if found.prefill {
@@ -161,7 +162,7 @@
 func (c *Core) generate(now namer.Seconds, q *request) {
 	e := c.pickGenerator(now, q)
 	if e == nil {
-		c.refuse(q, classifier.NoEndpoint, noEndpointRetry)
+		c.refuse(now, q, classifier.NoEndpoint, noEndpointRetry)
 		return
 	}
 	c.last++
@@ -174,5 +175,15 @@
 	e.health.sent()
 	c.actions = append(c.actions, decider.Action{
 		Kind: decider.ActionDispatch, Request: q.ID, Attempt: q.attempt, Endpoint: e.view.Name, Priority: q.class(),
+		Basis: q.basis(now, choice{at: e}),
 	})
 }
+
+// basis says what a choice rests on.
+func (q *request) basis(now namer.Seconds, found choice) decider.Basis {
+	basis := decider.Basis{Expected: found.expected.Duration(), Declined: len(q.declined), Late: q.late}
+	if e := found.at; !q.pool.plain && e.load.Rate > 0 {
+		basis.Waiting, basis.NewsAge = e.ahead(now, bucket(q.class())).Duration(), (now - e.loadAt).Duration()
+	}
+	return basis
+}
--- /dev/null
+++ b/recorder/bounded_test.go
@@ -0,0 +1,94 @@
+package recorder_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"apricotspool/recorder"
+)
+
+// stuck is an output whose reader has stopped reading.
+type stuck struct {
+	until chan struct{}
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.until
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lines.Write(p)
+}
+
+func (s *stuck) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lines.String()
+}
+
+// Guards against a daemon that waits for whoever reads its log.
+func TestNothingWaitsForTheLog(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{until: make(chan struct{})}
+	log := recorder.NewBounded(out, zerolog.InfoLevel)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for i := range 10_000 {
+			log.Events.Info().Int("n", i).Msg("event")
+		}
+	}()
+	select {
+	case <-written:
+	case <-time.After(30 * time.Second):
+		t.Fatal("a log line waits for its reader")
+	}
+	close(out.until)
+	is.NoErr(log.Close())
+	is.True(log.Dropped() > 0)
+}
+
+// Guards against a log that grows with the load, and against lines that are dropped in silence. Events
+// of the daemon are kept however many requests there are.
+func TestLinesOfRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{until: make(chan struct{})}
+	close(out.until)
+	log := recorder.NewBounded(out, zerolog.InfoLevel)
+	ctx, stop := context.WithCancel(t.Context())
+	go log.Run(ctx)
+	const sent = 10_000
+	for i := range sent {
+		log.Requests.Info().Int("n", i).Msg("request-ended")
+	}
+	log.Events.Info().Msg("configuration-in-force")
+	log.Requests.Warn().Msg("attempt-failed")
+	for limit := time.Now().Add(30 * time.Second); !strings.Contains(out.text(), "log-lines-dropped"); {
+		if time.Now().After(limit) {
+			t.Fatal("dropped lines are not mentioned")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	stop()
+	<-log.Done()
+	is.NoErr(log.Close())
+	text := out.text()
+	is.Equal(strings.Count(text, "request-ended"), sent-int(log.Dropped()))
+	is.True(log.Dropped() > 0)
+	for _, event := range []string{"configuration-in-force", "attempt-failed", "log-lines-dropped"} {
+		is.True(strings.Contains(text, event))
+	}
+	for line := range strings.Lines(text) {
+		var fields map[string]any
+		is.NoErr(json.Unmarshal([]byte(line), &fields))
+	}
+}
--- a/recorder/logger.go
+++ b/recorder/logger.go
@@ -9,6 +9,9 @@
 	"github.com/rs/zerolog"
 )
 
+// Decisions of one request are less than a millisecond apart.
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 // NewLogger returns a logger that writes key=value lines to w.
 func NewLogger(w io.Writer) zerolog.Logger {
 	console := zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339Nano}
--- a/recorder/metrics.go
+++ b/recorder/metrics.go
@@ -52,6 +52,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`apricotspool_between_tokens_seconds{rank=%q}`, string(rank))).Update(d.Seconds())
 }
 
+// Request records how long a request of a service took, whatever its outcome.
+func (m *Metrics) Request(service namer.Service, d time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`apricotspool_request_seconds{service=%q}`, string(service))).Update(d.Seconds())
+}
+
 // Counter returns a counter by its full name with labels, for parts with metrics of their own.
 func (m *Metrics) Counter(name string) *metrics.Counter { return m.set.GetOrCreateCounter(name) }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -114,6 +114,7 @@
 	if old := r.current.Load(); old != nil && slices.EqualFunc(*old, entries, Entry.equal) {
 		return
 	}
+	r.logChanges(entries)
 	r.current.Store(&entries)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -121,6 +122,24 @@
 	r.changed = make(chan struct{})
 }
 
+// logChanges writes which endpoints have come, gone or changed.
+func (r *Registrar) logChanges(entries []Entry) {
+	old := map[namer.Endpoint]Entry{}
+	for _, e := range r.Entries() {
+		old[e.Name] = e
+	}
+	for _, e := range entries {
+		if before, known := old[e.Name]; !known || !before.equal(e) {
+			r.Log.Info().Str("endpoint", string(e.Name)).Str("service", string(e.Service)).Stringer("address", e.Address).
+				Str("role", string(e.Role)).Uint64("incarnation", uint64(e.Incarnation)).Bool("leaving", e.Leaving).Msg("endpoint-registered")
+		}
+		delete(old, e.Name)
+	}
+	for name := range old {
+		r.Log.Info().Str("endpoint", string(name)).Msg("endpoint-gone")
+	}
+}
+
 func (e Entry) equal(other Entry) bool {
 	return slices.Equal(e.Models, other.Models) && e.Name == other.Name && e.Service == other.Service && e.Address == other.Address &&
 		e.DataCentre == other.DataCentre && e.Slots == other.Slots && e.Leaving == other.Leaving &&
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -112,7 +112,7 @@
 	case notRun:
 		reason = classifier.RetryConnectFailed
 	}
-	x.log(action, reason, err)
+	x.logFailure(action, reason, err)
 	x.ticket.Failed(action.Attempt, action.Endpoint, reason, notRun, x.stream.events)
 	return false
 }
@@ -124,7 +124,7 @@
 	if verdict.Misplaced {
 		reason = classifier.RetryEndpointLeaving
 	}
-	x.log(action, reason, errors.Errorf("status %d", answer.Status))
+	x.logFailure(action, reason, errors.Errorf("status %d", answer.Status))
 	x.ticket.Failed(action.Attempt, action.Endpoint, reason, true, x.stream.events)
 }
 
@@ -137,16 +137,11 @@
 	if x.silent(ctx) {
 		reason = classifier.RetryEndpointSilent
 	}
-	x.log(action, reason, err)
+	x.logFailure(action, reason, err)
 	x.ticket.Failed(action.Attempt, action.Endpoint, reason, false, x.stream.events)
 	return false
 }
 
-func (x *exchange) log(action decider.Action, reason classifier.RetryReason, err error) {
-	x.relayer.Log.Debug().Err(err).Str("request", x.call.ID).Str("endpoint", string(action.Endpoint)).
-		Int("attempt", int(action.Attempt)).Str("reason", string(reason)).Msg("attempt-failed")
-}
-
 // failure passes on an endpoint's own failure, unless another attempt is allowed.
 func (x *exchange) failure(ctx context.Context, action decider.Action, answer *forwarder.Answer) bool {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered))
@@ -168,6 +163,7 @@
 		x.passFallback()
 		return true
 	}
+	x.logFailure(action, classifier.RetryEndpointFailed, errors.Errorf("status %d", answer.Status))
 	x.ticket.Failed(action.Attempt, action.Endpoint, classifier.RetryEndpointFailed, false, 0)
 	return false
 }
@@ -299,7 +295,7 @@
 	if x.silent(ctx) {
 		reason = classifier.RetryEndpointSilent
 	}
-	x.log(action, reason, err)
+	x.logFailure(action, reason, err)
 	// Processing a prompt is no execution of the request.
 	x.ticket.Failed(action.Attempt, action.Endpoint, reason, true, 0)
 	return false
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -26,6 +26,7 @@
 	began   time.Time
 	call    Call
 
+	version  namer.ConfigVersion // of the routes
 	route    *matcher.Route
 	service  namer.Service
 	deadline time.Time // the caller's or the route's, whichever ends first
@@ -56,6 +57,7 @@
 		x.refuse(classifier.NoConfiguration, defaultRetryAfter)
 		return false
 	}
+	x.version = table.Version
 	route, found := table.Match(x.r.Host, x.r.URL.Path)
 	if !found {
 		x.refuse(classifier.NotFound, 0)
@@ -148,8 +150,10 @@
 				return decider.Action{}, classifier.Draining
 			case a.Kind == decider.ActionRefuse:
 				x.ended = true
+				x.logDecision(a)
 				return a, a.Outcome
 			case a.Kind == decider.ActionDispatch, a.Kind == decider.ActionPrefill:
+				x.logDecision(a)
 				return a, ""
 			}
 		case <-x.ticket.Stopped():
@@ -207,10 +211,10 @@
 func (x *exchange) finish(outcome classifier.Outcome) {
 	asserter.Check(x.outcome == "", "a request is answered once", "request %s has outcome %q and gets %q", x.call.ID, x.outcome, outcome)
 	x.outcome = outcome
+	took := time.Since(x.began)
 	x.relayer.Metrics.Outcome(outcome)
-	if outcome != classifier.Served {
-		x.relayer.Log.Debug().Str("request", x.call.ID).Str("outcome", string(outcome)).Dur("took", time.Since(x.began)).Msg("request-ended")
-	}
+	x.relayer.Metrics.Request(x.service, took)
+	x.logEnd(took)
 }
 
 func (x *exchange) bodyReader() io.Reader {
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,6 +17,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"apricotspool/classifier"
 	"apricotspool/decider"
@@ -132,10 +134,47 @@
 	relayer *relayer.Relayer
 	front   *httptest.Server
 	targets map[namer.Endpoint]forwarder.Target
+	log     *lines
+}
+
+// lines is a log in memory.
+type lines struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text = append(l.text, p...)
+	return len(p), nil
+}
+
+// of returns the lines about a request, as "event field=value", with the fields that are asked for.
+func (l *lines) of(t *testing.T, request string, fields ...string) []string {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for line := range bytes.Lines(l.text) {
+		var values map[string]any
+		is.New(t).NoErr(json.Unmarshal(line, &values))
+		if values["request"] != request {
+			continue
+		}
+		text := fmt.Sprint(values["message"])
+		for _, field := range fields {
+			if value, present := values[field]; present {
+				text += fmt.Sprintf(" %s=%v", field, value)
+			}
+		}
+		found = append(found, text)
+	}
+	return found
 }
 
 func newBed(t *testing.T, steps ...decider.Action) *bed {
-	b := &bed{t: t, core: &script{steps: steps}, targets: map[namer.Endpoint]forwarder.Target{}}
+	b := &bed{t: t, core: &script{steps: steps}, targets: map[namer.Endpoint]forwarder.Target{}, log: &lines{}}
 	table := matcher.New(1, []matcher.Route{
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: matcher.Safe, Timeout: 5 * time.Second, Attempts: 2},
 		{Name: "unsafe", Host: "h", Prefix: "/unsafe/", Kind: matcher.Unsafe, Timeout: 5 * time.Second, Attempts: 2},
@@ -151,7 +190,7 @@
 	go d.Run(ctx)
 	b.relayer = &relayer.Relayer{
 		Table: func() *matcher.Table { return table }, Dialect: dialect{}, Dispatcher: d, Metrics: recorder.NewMetrics(),
-		Endpoints: &forwarder.Client{EchoHeader: "X-Id"},
+		Endpoints: &forwarder.Client{EchoHeader: "X-Id"}, Log: zerolog.New(b.log),
 		Target: func(name namer.Endpoint) (forwarder.Target, bool) {
 			target, known := b.targets[name]
 			return target, known
--- /dev/null
+++ b/relayer/journal.go
@@ -0,0 +1,58 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"apricotspool/classifier"
+	"apricotspool/decider"
+)
+
+// logDecision writes what the core decided about the request and on what ground.
+func (x *exchange) logDecision(a decider.Action) {
+	event, name := x.relayer.Log.Info(), "attempt-started"
+	if a.Kind == decider.ActionRefuse {
+		event, name = x.relayer.Log.Warn(), "request-refused"
+	}
+	if event == nil {
+		return
+	}
+	event.Str("request", x.call.ID).Str("service", string(x.service))
+	switch a.Kind {
+	case decider.ActionRefuse:
+		event.Str("outcome", string(a.Outcome)).Int("usable", a.Basis.Usable).Dur("retry-after-ms", a.RetryAfter)
+	default:
+		event.Str("endpoint", string(a.Endpoint)).Int("attempt", int(a.Attempt)).Bool("prompt-only", a.Kind == decider.ActionPrefill).
+			Int("priority", a.Priority).Dur("expected-ms", a.Basis.Expected).Dur("waiting-ms", a.Basis.Waiting).Dur("news-age-ms", a.Basis.NewsAge)
+		optional(event, "fetch", string(a.Fetch))
+		optional(event, "backup", string(a.Backup))
+		optional(event, "repeats-after", string(a.Retry))
+		if a.FromBackup {
+			event.Bool("from-backup", true)
+		}
+	}
+	event.Int("declined", a.Basis.Declined).Bool("late", a.Basis.Late).Msg(name)
+}
+
+func optional(event *zerolog.Event, key, value string) {
+	if value != "" {
+		event.Str(key, value)
+	}
+}
+
+// logFailure writes how an attempt failed.
+func (x *exchange) logFailure(a decider.Action, reason classifier.RetryReason, err error) {
+	x.relayer.Log.Warn().Err(err).Str("request", x.call.ID).Str("endpoint", string(a.Endpoint)).Int("attempt", int(a.Attempt)).
+		Str("reason", string(reason)).Bool("may-have-run", x.mayRun).Msg("attempt-failed")
+}
+
+// logEnd writes the outcome of the request.
+func (x *exchange) logEnd(took time.Duration) {
+	event := x.relayer.Log.Info()
+	if x.outcome != classifier.Served {
+		event = x.relayer.Log.Warn()
+	}
+	event.Str("request", x.call.ID).Str("service", string(x.service)).Str("outcome", string(x.outcome)).
+		Uint64("version", uint64(x.version)).Bool("may-have-run", x.mayRun).Dur("took-ms", took).Msg("request-ended")
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -33,7 +33,8 @@
 	Dispatcher Dispatcher
 	Endpoints  forwarder.Service
 	Metrics    *recorder.Metrics
-	Log        zerolog.Logger
+	// Log gets a line for each decision about a request and for its end.
+	Log zerolog.Logger
 
 	pulses   pulses
 	draining atomic.Bool
