placer: A failed reader is no attempt; repeats are charged as they are counted

In the burst the engine was taken for silent after 0.4 s although its queue was longer, and the only attempt of the route counted as used.

Change: processing a prompt is no attempt. The first one is free unless its engine broke; every further one is a repeat. The budget is charged when a repeat is decided. A processed prompt goes to the next engine when the connection failed. Silence is counted from the time that is expected; an attempt that no other can follow is not given up.

--- a/decider/event.go
+++ b/decider/event.go
@@ -147,7 +147,9 @@
 	Message any
 	// Retry names why a dispatch repeats an earlier attempt; empty for the first.
 	Retry classifier.RetryReason
-	// Basis is what the decision rests on, for the log.
+	// Last says that no other attempt follows when this one fails.
+	Last bool
+	// Basis is what the decision rests on. An endpoint that is silent for as long as is expected is well.
 	Basis Basis
 	// Report is the news of ActionReport about Endpoint or To; it holds for Lasting, if that isn't 0.
 	Report  Report
--- a/placer/core.go
+++ b/placer/core.go
@@ -57,7 +57,12 @@
 	arrived  namer.Seconds
 	deadline namer.Seconds
 	attempt  namer.Attempt
-	sends    int // sendings that an endpoint may have seen
+	sends    int  // sendings that an endpoint may have seen
+	read     bool // an engine has got the prompt to process for another one
+	seen     bool // an endpoint has got the request, so that the next one that gets it repeats it
+	paid     bool // the budget has been charged for the next sending
+	noReader bool // nothing is left to pay another reader with
+	handled  bool // an engine keeps the processed prompt for the one that generates
 	mayRun   bool
 	passed   float64   // tokens that the caller has got
 	backup   *endpoint // gets a copy of the current attempt's memory
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
@@ -33,6 +34,7 @@
 	lose func(from, to namer.Host) bool
 
 	reports  []decider.Action // what the cores have come to believe
+	basis    map[namer.StreamID]decider.Basis
 	requests map[namer.StreamID]*attempted
 	all      []*attempted
 }
@@ -96,7 +98,8 @@
 func newFleet(t *testing.T, hosts, readers, generators int) *fleet {
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), engines: map[namer.Endpoint]*engine{}, requests: map[namer.StreamID]*attempted{},
-		view: decider.Fleet{Services: []decider.ServiceView{{Name: service, Backups: true, EventTokens: eventTokens}}},
+		basis: map[namer.StreamID]decider.Basis{},
+		view:  decider.Fleet{Services: []decider.ServiceView{{Name: service, Backups: true, EventTokens: eventTokens}}},
 	}
 	for i := range readers + generators {
 		name := namer.Endpoint(fmt.Sprintf("e-%02d", i))
@@ -203,6 +206,7 @@
 		case decider.ActionRefuse:
 			r.outcome = a.Outcome
 		case decider.ActionDispatch, decider.ActionPrefill:
+			f.basis[a.Request] = a.Basis
 			r.attempt, r.at, r.prefill, r.backup, r.priority = a.Attempt, a.Endpoint, a.Kind == decider.ActionPrefill, a.Backup, a.Priority
 			handled := r.priority >= 0 && a.Kind == decider.ActionDispatch && f.handled(r)
 			f.after(way, func() { f.submit(r, a, handled) })
@@ -340,6 +344,7 @@
 	target                 time.Duration
 	priority               int
 	repeatable             bool
+	attempts               int // 0 means 2
 }
 
 // check is a long prompt with a short answer, and ask a short prompt with a long one.
@@ -355,7 +360,7 @@
 	r := &attempted{host: h, output: k.output, arrived: f.now, request: decider.Request{
 		ID: namer.StreamID(fmt.Sprintf("r-%d", len(f.all))), Service: service, Idempotent: k.repeatable, PromptTokens: k.prompt,
 		MaxTokens: k.output, Deadline: f.time().Add(15 * time.Second), Target: k.target, TargetGap: 150 * time.Millisecond,
-		Priority: k.priority, Attempts: 2,
+		Priority: k.priority, Attempts: cmp.Or(k.attempts, 2),
 		Parts: []decider.Part{{ID: session, Tokens: k.shared}, {ID: uint64(len(f.all)) + 1<<50, Tokens: own}},
 	}}
 	if k.output < k.prompt {
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -21,6 +21,7 @@
 		if q.stage == prefilling {
 			c.praise(q.at)
 			c.release(at, q)
+			q.read, q.handled = true, true
 			c.generate(at, q)
 		}
 	case decider.EventStarted:
@@ -72,28 +73,49 @@
 	c.blame(now, q.at, e.Reason)
 	q.tried = append(q.tried, q.at)
 	begun, backup := q.begun, q.backup
+	q.learn(e)
 	c.release(now, q)
-	q.mayRun = q.mayRun || !e.NotRun
-	q.passed = float64(e.OutputTokens) * q.pool.perEvent
-	q.reason = e.Reason
-	if e.Reason != classifier.RetryConnectFailed {
-		q.sends++
-	}
-	paid := len(q.tried) <= maxTries && q.pool.budget.allows(now, c.Retries, len(c.members))
+	paid := q.paid || c.pays(now, q)
+	q.noReader = q.read && !paid
 	switch {
 	case paid && begun && !e.NotRun && backup != nil && backup.usable(now, true) && c.endpoints[backup.view.Name] == backup:
 		// The request goes on where its memory was copied to; it runs only once.
 		c.commit(now, q, choice{at: backup, fromBackup: true}, false)
 	case q.mayRun && !q.Idempotent:
 		c.refuse(now, q, classifier.EndpointFailed, 0)
-	case !paid || q.sends >= max(1, q.Attempts):
+	case len(q.tried) > maxTries || (q.seen && !paid) || q.sends >= max(1, q.Attempts):
 		c.refuse(now, q, classifier.EndpointRefused, refusedRetry)
+	case q.handled:
+		q.attempt++
+		c.generate(now, q)
 	default:
+		if q.seen && !q.paid { // at once, since many requests fail together and wait for their next place
+			q.pool.budget.spend(now, c.Retries)
+			q.paid = true
+		}
 		q.declined, q.late = nil, false
 		c.place(now, q)
 	}
 }
 
+// learn takes note of how the current attempt failed.
+func (q *request) learn(e decider.Event) {
+	q.mayRun = q.mayRun || !e.NotRun
+	q.passed = float64(e.OutputTokens) * q.pool.perEvent
+	q.reason = e.Reason
+	unsent := e.Reason == classifier.RetryConnectFailed
+	q.handled = q.handled && unsent // or the engine may have taken the processed prompt
+	switch {
+	case unsent:
+	case q.stage == prefilling:
+		q.read = true
+		q.seen = q.seen || e.Reason != classifier.RetryEndpointSilent // which still processes the prompt
+	default:
+		q.sends++
+		q.seen = true
+	}
+}
+
 // maxTries bounds the endpoints that one request is tried at, those included that could not be reached.
 const maxTries = 4
 
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -85,7 +85,7 @@
 		}
 		first := e.prefill(q.pool, own)
 		if e.view.Role == namer.RolePrefill {
-			if q.passed > 0 {
+			if q.passed > 0 || q.noReader {
 				continue // a stream goes on where it is generated
 			}
 			first += transfer
@@ -165,7 +165,11 @@
 			first, least = e, order
 		}
 	}
-	return choice{at: first, budget: q.deadline - now}
+	found := choice{at: first, budget: q.deadline - now}
+	if first != nil {
+		found.expected = first.ahead(now, bucket(q.class())) + first.prefill(q.pool, float64(q.PromptTokens))
+	}
+	return found
 }
 
 // pickGenerator returns the engine that generates after another one has processed the prompt.
--- a/placer/place.go
+++ b/placer/place.go
@@ -132,8 +132,8 @@
 	}
 	q.attempt++
 	q.at, q.begun = e, false
-	if q.sends > 0 {
-		q.pool.budget.spend(now, c.Retries)
+	if q.seen || (found.prefill && q.read) {
+		c.pay(now, q)
 	}
 	e.running++
 	e.health.sent()
@@ -155,10 +155,24 @@
 			action.Backup = q.backup.view.Name
 		}
 	}
+	action.Last = q.stage == running && q.backup == nil && (q.sends+1 >= max(1, q.Attempts) || !c.pays(now, q))
 	c.actions = append(c.actions, action)
 }
 
-// generate sends a request whose prompt has been processed to the engine that generates.
+// pays reports whether the budget bears another repeat.
+func (c *Core) pays(now namer.Seconds, q *request) bool {
+	return q.pool.budget.allows(now, c.Retries, len(c.members))
+}
+
+// pay charges the budget for a repeat, once.
+func (c *Core) pay(now namer.Seconds, q *request) {
+	if !q.paid {
+		q.pool.budget.spend(now, c.Retries)
+	}
+	q.paid = false
+}
+
+// generate sends a request whose prompt has been processed to an engine that generates.
 func (c *Core) generate(now namer.Seconds, q *request) {
 	e := c.pickGenerator(now, q)
 	if e == nil {
@@ -167,6 +181,9 @@
 	}
 	c.last++
 	q.reservation = c.last
+	if q.seen {
+		c.pay(now, q)
+	}
 	work := q.work(now, choice{})
 	work.Tokens, work.Shared = 0, 0 // another engine has processed the prompt
 	c.note(now, e, q.reservation, Note{Progress: Placed, Work: work})
@@ -175,15 +192,17 @@
 	e.health.sent()
 	c.actions = append(c.actions, decider.Action{
 		Kind: decider.ActionDispatch, Request: q.ID, Attempt: q.attempt, Endpoint: e.view.Name, Priority: q.class(),
-		Basis: q.basis(now, choice{at: e}),
+		Basis: q.basis(now, choice{at: e}), Last: q.sends+1 >= max(1, q.Attempts) || !c.pays(now, q),
 	})
 }
 
-// basis says what a choice rests on.
+// basis says what a choice rests on. The ledger's answer may have brought newer news than those that the
+// choice was made with.
 func (q *request) basis(now namer.Seconds, found choice) decider.Basis {
 	basis := decider.Basis{Expected: found.expected.Duration(), Declined: len(q.declined), Late: q.late}
 	if e := found.at; !q.pool.plain && e.load.Rate > 0 {
 		basis.Waiting, basis.NewsAge = e.ahead(now, bucket(q.class())).Duration(), (now - e.loadAt).Duration()
+		basis.Expected = max(basis.Expected, basis.Waiting)
 	}
 	return basis
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -32,8 +32,11 @@
 		x.ticket.Failed(action.Attempt, action.Endpoint, classifier.RetryEndpointLeaving, true, x.stream.events)
 		return false
 	}
-	repeatable := action.Kind == decider.ActionPrefill || x.route.Repeatable() || action.Backup != ""
-	ctx, guard := x.relayer.watch(ctx, action.Endpoint, repeatable)
+	patience := silentAfter + action.Basis.Expected
+	if action.Last || (action.Kind != decider.ActionPrefill && !x.route.Repeatable() && action.Backup == "") {
+		patience = 0 // to give up would gain nothing
+	}
+	ctx, guard := x.relayer.watch(ctx, action.Endpoint, patience)
 	defer guard.stop()
 	if action.Kind == decider.ActionPrefill {
 		return x.prefill(ctx, guard, action, target)
@@ -49,7 +52,11 @@
 		Backup: x.address(action.Backup),
 	}))
 	if err != nil {
-		x.free(handle)
+		if errors.Is(err, forwarder.ErrNotSent) {
+			x.handle = handle
+		} else {
+			x.free(handle)
+		}
 		return x.unanswered(ctx, action, err)
 	}
 	defer answer.Body.Close()
--- a/relayer/silence.go
+++ b/relayer/silence.go
@@ -11,8 +11,9 @@
 	"apricotspool/namer"
 )
 
-// silentAfter is the silence of an endpoint after which attempts that may be repeated are given up. A
-// busy engine takes up to a third of a second between the events of a stream.
+// silentAfter is the silence of an endpoint, beyond the time that its answer is expected to take, after
+// which attempts that may be repeated are given up. A busy engine takes up to a third of a second between
+// the events of a stream.
 const silentAfter = 400 * time.Millisecond
 
 // errSilent means that nothing has come from an endpoint for a while.
@@ -38,18 +39,19 @@
 
 // guard ends the context of an attempt when its endpoint is silent for too long.
 type guard struct {
-	pulse  *atomic.Int64
-	since  time.Duration // when the attempt began
-	cancel context.CancelCauseFunc
-	timer  *time.Timer // nil when the attempt must not be given up
+	pulse    *atomic.Int64
+	since    time.Duration // when the attempt began
+	patience time.Duration // for silence
+	cancel   context.CancelCauseFunc
+	timer    *time.Timer // nil when the attempt must not be given up
 }
 
-// watch starts a guard, which ends only an attempt that may be repeated. The caller stops it.
-func (r *Relayer) watch(ctx context.Context, name namer.Endpoint, repeatable bool) (context.Context, *guard) {
+// watch starts a guard. A patience of 0 never ends. The caller stops the guard.
+func (r *Relayer) watch(ctx context.Context, name namer.Endpoint, patience time.Duration) (context.Context, *guard) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	g := &guard{pulse: r.pulses.of(name), since: time.Since(began), cancel: cancel}
-	if repeatable {
-		g.timer = time.AfterFunc(silentAfter, g.check)
+	g := &guard{pulse: r.pulses.of(name), since: time.Since(began), patience: patience, cancel: cancel}
+	if patience > 0 {
+		g.timer = time.AfterFunc(patience, g.check)
 	}
 	return ctx, g
 }
@@ -57,11 +59,11 @@
 func (g *guard) check() {
 	last := max(time.Duration(g.pulse.Load()), g.since)
 	silent := time.Since(began) - last
-	if silent >= silentAfter {
+	if silent >= g.patience {
 		g.cancel(errSilent)
 		return
 	}
-	g.timer.Reset(silentAfter - silent)
+	g.timer.Reset(g.patience - silent)
 }
 
 // heard notes that something has come from the endpoint.
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -103,6 +103,32 @@
 	is.Equal(b.core.wait(2)[1].Reason, classifier.RetryEndpointSilent)
 }
 
+// Guards against giving up an endpoint that is as slow as was expected, and an attempt that no other one
+// can follow.
+func TestPatience(t *testing.T) {
+	slow := func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(700 * time.Millisecond)
+		io.WriteString(w, "late")
+	}
+	for name, c := range map[string]struct {
+		action decider.Action
+		body   string
+	}{
+		"quick usually":       {decider.Action{}, "other"},
+		"expected to be slow": {decider.Action{Basis: decider.Basis{Expected: 3 * time.Second}}, "late"},
+		"last attempt":        {decider.Action{Last: true}, "late"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			steps := to("a", "b")
+			steps[0].Last, steps[0].Basis = c.action.Last, c.action.Basis
+			b := newBed(t, steps...)
+			b.endpoint("a", slow)
+			b.endpoint("b", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "other") })
+			is.New(t).Equal(b.send("GET", "/safe/", "").body, c.body)
+		})
+	}
+}
+
 // Guards against memory that an engine keeps for nobody when the answer can't be generated.
 func TestUnusedHandleIsFreed(t *testing.T) {
 	is := is.New(t)
