--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -105,6 +105,13 @@
 	return []decider.Action{action}
 }
 
+// begin sets the actions for the next request and forgets the last one.
+func (s *script) begin(steps []decider.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steps, s.events = steps, nil
+}
+
 // wait returns the events when there are so many.
 func (s *script) wait(n int) []decider.Event {
 	for {
@@ -129,7 +136,7 @@
 
 // bed is a relayer with one core and some endpoints.
 type bed struct {
-	t       *testing.T
+	t       testing.TB
 	core    *script
 	relayer *relayer.Relayer
 	front   *httptest.Server
@@ -173,7 +180,7 @@
 	return found
 }
 
-func newBed(t *testing.T, steps ...decider.Action) *bed {
+func newBed(t testing.TB, steps ...decider.Action) *bed {
 	b := &bed{t: t, core: &script{steps: steps}, targets: map[namer.Endpoint]forwarder.Target{}, log: &lines{}}
 	table := matcher.New(1, []matcher.Route{
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: matcher.Safe, Timeout: 5 * time.Second, Attempts: 2},
