--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -161,8 +161,7 @@
 			continue
 		}
 		if a.Kind == decider.ActionReport {
-			d.Log.Info().Str("endpoint", string(a.Endpoint)).Str("daemon", string(a.To)).
-				Str("reason", string(a.Retry)).Dur("lasting", a.Lasting).Msg(string(a.Report))
+			d.logReport(a)
 			continue
 		}
 		t := d.tickets[a.Request]
@@ -185,6 +184,17 @@
 	}
 }
 
+// logReport writes what the core has come to believe about an endpoint or a daemon.
+func (d *Dispatcher) logReport(a decider.Action) {
+	event := d.Log.Info().Dur("lasting-ms", a.Lasting)
+	if a.Endpoint != "" {
+		event.Str("endpoint", string(a.Endpoint)).Str("reason", string(a.Retry))
+	} else {
+		event.Str("daemon", string(a.To))
+	}
+	event.Msg(string(a.Report))
+}
+
 // Configure gives the core a new fleet.
 func (d *Dispatcher) Configure(ctx context.Context, fleet decider.Fleet) error {
 	return d.send(ctx, message{fleet: &fleet})
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -83,11 +83,17 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../docs/settings.md")
 	is.NoErr(err)
-	var documented []string
-	for _, row := range regexp.MustCompile("(?m)^\\| `(/[^`]*)` \\|").FindAllSubmatch(page, -1) {
-		documented = append(documented, string(row[1]))
+	daemon, gateway, found := strings.Cut(string(page), "\n# Settings of a gateway\n")
+	is.True(found)
+	documented := func(text string) string {
+		var paths []string
+		for _, row := range regexp.MustCompile("(?m)^\\| `(/[^`]*)` \\|").FindAllStringSubmatch(text, -1) {
+			paths = append(paths, row[1])
+		}
+		return strings.Join(paths, "\n")
 	}
-	is.Equal(strings.Join(documented, "\n"), strings.Join(decoder.Paths(loader.Settings{}), "\n"))
+	is.Equal(documented(daemon), strings.Join(decoder.Paths(loader.Settings{}), "\n"))
+	is.Equal(documented(gateway), strings.Join(decoder.Paths(loader.Gateway{}), "\n"))
 }
 
 // Guards against a decoder that panics or accepts what Check refuses.
