Ask silent engines for their load instead of giving them up after a fixed time

Cause: relayer gave up an endpoint 400 ms beyond the expected latency. Change: package detector, pure: learned overruns by kind of call, and reports of the engine that show progress, a hang or a lost request. relayer's watchdog runs it. Bytes that complete no event are no progress. Slack, memory and descriptors of the settings may carry a fraction. Conclusion: silence is judged by evidence.

--- a/classifier/retry.go
+++ b/classifier/retry.go
@@ -13,9 +13,11 @@
 	RetryHedged               RetryReason = "hedged"
 	RetryEndpointFailed       RetryReason = "endpoint-failed"
 	RetryEndpointUnresponsive RetryReason = "endpoint-silent"
+	// RetryResponseLost says that the endpoint works and no longer has the request.
+	RetryResponseLost RetryReason = "response-lost"
 )
 
 // RetryReasons returns every reason.
 func RetryReasons() []RetryReason {
-	return []RetryReason{RetryConnectFailed, RetryEndpointRefused, RetryStreamBroken, RetryEndpointLeaving, RetryHedged, RetryEndpointFailed, RetryEndpointUnresponsive}
+	return []RetryReason{RetryConnectFailed, RetryEndpointRefused, RetryStreamBroken, RetryEndpointLeaving, RetryHedged, RetryEndpointFailed, RetryEndpointUnresponsive, RetryResponseLost}
 }
--- a/decider/event.go
+++ b/decider/event.go
@@ -72,6 +72,8 @@
 	EventCache
 	// EventHealth reports the result of a reachability check made outside a request.
 	EventHealth
+	// EventLeaving reports that Endpoint has announced in a response that it is leaving.
+	EventLeaving
 )
 
 // Event is an input to a Core. Only the fields of its kind are set.
@@ -86,6 +88,8 @@
 	Reason classifier.RetryReason
 	// NotRun is set when the endpoint is known not to have executed the failed attempt.
 	NotRun bool
+	// RetryAfter is how long the endpoint wants no requests from this daemon; EventFailed.
+	RetryAfter time.Duration
 
 	Load Load // EventLoad
 
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"apricotspool/classifier"
 	"apricotspool/decider"
@@ -58,6 +59,19 @@
 	t.report(decider.Event{Kind: decider.EventFailed, Attempt: attempt, Endpoint: at, Reason: reason, NotRun: notRun, OutputTokens: output})
 }
 
+// Refused reports that an attempt has failed without executing the request. retryAfter is how long the
+// endpoint wants no requests from this daemon; 0 if it does not say.
+func (t *Ticket) Refused(attempt namer.Attempt, at namer.Endpoint, reason classifier.RetryReason, retryAfter time.Duration, output namer.Tokens) {
+	t.report(decider.Event{
+		Kind: decider.EventFailed, Attempt: attempt, Endpoint: at, Reason: reason, NotRun: true, RetryAfter: retryAfter, OutputTokens: output,
+	})
+}
+
+// Leaving reports that an endpoint has announced in a response that it is leaving.
+func (t *Ticket) Leaving(at namer.Endpoint) {
+	t.report(decider.Event{Kind: decider.EventLeaving, Endpoint: at})
+}
+
 // Cancelled reports that the request has ended in any other way, for example because the caller has
 // disconnected.
 func (t *Ticket) Cancelled() { t.report(decider.Event{Kind: decider.EventCancelled}) }
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -42,9 +42,9 @@
 	// Retries bounds the retries of all daemons together.
 	Retries RetryBudget `json:"retries,omitzero"`
 	// MemoryMB is the memory limit of the process in MB, at which it is killed; 0 means no limit.
-	MemoryMB int `json:"memory-mb,omitzero"`
+	MemoryMB float64 `json:"memory-mb,omitzero"`
 	// Descriptors is the maximum number of sockets that the process may open; 0 means no limit.
-	Descriptors int `json:"descriptors,omitzero"`
+	Descriptors float64 `json:"descriptors,omitzero"`
 	// LogLevel is the lowest level that is logged. Empty means "info".
 	LogLevel string `json:"log-level,omitempty"`
 }
@@ -60,7 +60,7 @@
 // requests plus Slack.
 type RetryBudget struct {
 	Ratio  float64        `json:"ratio,omitzero"`
-	Slack  int            `json:"slack,omitzero"`
+	Slack  float64        `json:"slack,omitzero"`
 	Window namer.Duration `json:"window,omitzero"`
 }
 
--- a/placer/affinity.go
+++ b/placer/affinity.go
@@ -24,7 +24,7 @@
 	prefix := q.Parts[len(q.Parts)-2].ID
 	var prefill, decode [affinityRanks]uint64
 	for _, e := range p.endpoints {
-		if e.view.Leaving {
+		if e.leaving() {
 			continue
 		}
 		weight := rendezvous(prefix, string(e.view.Name))
--- a/placer/budget.go
+++ b/placer/budget.go
@@ -10,7 +10,7 @@
 // of a service, plus Slack.
 type Retries struct {
 	Ratio  float64
-	Slack  int
+	Slack  float64
 	Window time.Duration
 }
 
@@ -51,6 +51,6 @@
 		requests += b.requests[i]
 		retries += b.retries[i]
 	}
-	limit := budgetMargin * (r.Ratio*float64(requests) + float64(r.Slack)/float64(max(1, hosts)))
+	limit := budgetMargin * (r.Ratio*float64(requests) + r.Slack/float64(max(1, hosts)))
 	return float64(retries+1) <= limit
 }
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -11,15 +11,23 @@
 	streamOrder int // order in which decode engines receive long streams; the same at every daemon
 	running     int // requests of this daemon
 	health      health
+	// announcedLeaving is set when the endpoint has said in a response that it is leaving. It holds until the
+	// endpoint is gone or has restarted.
+	announcedLeaving bool
+	// turnsAwayUntil is the time until which the endpoint wants no requests from this daemon.
+	turnsAwayUntil namer.Seconds
 
 	load          Load // latest summary from the ledger owner; engines only
 	loadUpdatedAt namer.Seconds
 }
 
+// leaving reports whether the endpoint is leaving, by its entry or by its own responses.
+func (e *endpoint) leaving() bool { return e.view.Leaving || e.announcedLeaving }
+
 // usable reports whether new work may be sent to the endpoint. Prefill for another engine is always
 // idempotent.
 func (e *endpoint) usable(now namer.Seconds, idempotent bool) bool {
-	return !e.view.Leaving && e.health.admits(now, idempotent || e.view.Role == namer.RolePrefill)
+	return !e.leaving() && now >= e.turnsAwayUntil && e.health.admits(now, idempotent || e.view.Role == namer.RolePrefill)
 }
 
 // maxLoadAge is the staleness bound of load summaries.
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -11,6 +11,12 @@
 // Observe handles an event of a request.
 func (c *Core) Observe(now time.Time, e decider.Event) []decider.Action {
 	c.actions = c.actions[:0]
+	if e.Kind == decider.EventLeaving {
+		if announcing := c.endpoints[e.Endpoint]; announcing != nil {
+			announcing.announcedLeaving = true
+		}
+		return c.actions
+	}
 	q := c.requests[e.Request]
 	if q == nil || (e.Attempt != 0 && e.Attempt != q.attempt) {
 		return c.actions
@@ -71,6 +77,9 @@
 // handleFailure retries a failed attempt if that is safe and within the retry budget, or refuses the request.
 func (c *Core) handleFailure(now namer.Seconds, q *request, e decider.Event) {
 	c.recordEndpointFailure(now, q.endpoint, e.Reason)
+	if e.RetryAfter > 0 {
+		q.endpoint.turnsAwayUntil = max(q.endpoint.turnsAwayUntil, now+namer.SecondsOf(e.RetryAfter))
+	}
 	q.tried = append(q.tried, q.endpoint)
 	started, backup := q.started, q.backup
 	q.recordFailure(e)
@@ -133,7 +142,7 @@
 	switch reason {
 	case classifier.RetryConnectFailed, classifier.RetryEndpointLeaving, classifier.RetryEndpointUnresponsive:
 		ejected = e.health.eject(now)
-	case classifier.RetryEndpointRefused, classifier.RetryEndpointFailed:
+	case classifier.RetryEndpointRefused, classifier.RetryEndpointFailed, classifier.RetryResponseLost:
 		ejected = e.health.recordFailure(now, 0.5)
 	default:
 		ejected = e.health.recordFailure(now, 1)
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -119,7 +119,7 @@
 
 func (c *Core) handleReserve(now namer.Seconds, from namer.Host, r *ReserveRequest) bool {
 	e := c.endpoints[r.Endpoint]
-	if e == nil || e.view.Leaving {
+	if e == nil || e.leaving() {
 		return false
 	}
 	return c.ledger(e).reserve(now, reservationKey{from, r.ReservationID}, r, e.view.Concurrency, e.pool(c).prefillRate(e.view.Role))
--- a/placer/prefill_test.go
+++ b/placer/prefill_test.go
@@ -14,7 +14,7 @@
 // arriveForPrefill returns a fleet of one daemon and a request that was sent to a prefill engine.
 func arriveForPrefill(t *testing.T, budget int) (*fleet, *trackedRequest) {
 	f := newFleet(t, 1, 2, 2)
-	f.hosts[0].core.Retries.Ratio, f.hosts[0].core.Retries.Slack = 0, budget
+	f.hosts[0].core.Retries.Ratio, f.hosts[0].core.Retries.Slack = 0, float64(budget)
 	once := longPrompt
 	once.attempts = 1
 	for {
--- a/recorder/metrics.go
+++ b/recorder/metrics.go
@@ -39,6 +39,11 @@
 // Outcome counts the outcome of one request.
 func (m *Metrics) Outcome(o classifier.Outcome) { m.outcome(o).Inc() }
 
+// Report counts a call for the load report of an endpoint.
+func (m *Metrics) Report(answered bool) {
+	m.Counter(fmt.Sprintf(`apricotspool_endpoint_reports_total{answered="%t"}`, answered)).Inc()
+}
+
 // Retry counts one retry.
 func (m *Metrics) Retry(r classifier.RetryReason) { m.retry(r).Inc() }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -33,13 +34,14 @@
 		x.ticket.Failed(action.Attempt, action.Endpoint, classifier.RetryEndpointLeaving, true, x.stream.events)
 		return false
 	}
-	timeout := inactivityTimeout + action.Basis.Expected
-	if action.FinalAttempt || (action.Kind != decider.ActionPrefill && !x.route.Repeatable() && action.Backup == "") {
-		timeout = 0 // no other attempt can follow
-	}
-	ctx, wd := x.relayer.startWatchdog(ctx, action.Endpoint, timeout)
+	prefill := action.Kind == decider.ActionPrefill
+	ctx, wd := x.relayer.startWatchdog(ctx, watched{
+		target: target, kind: callKind{service: x.service, prefill: prefill}, callID: x.call.ID, predicted: action.Basis.Expected,
+		latency: x.route.Target, deadline: x.deadline, reports: x.engine,
+		replace: !action.FinalAttempt && (prefill || x.route.Repeatable() || action.Backup != ""),
+	})
 	defer wd.stop()
-	if action.Kind == decider.ActionPrefill {
+	if prefill {
 		return x.prefill(ctx, wd, action, target)
 	}
 	handle := x.handle
@@ -61,8 +63,7 @@
 		return x.handleForwardError(ctx, action, err)
 	}
 	defer response.Body.Close()
-	wd.touch()
-	verdict := x.relayer.Dialect.Classify(response.Status, response.Header)
+	verdict := x.classify(action, response)
 	if verdict.NotRun {
 		x.releaseHandle(handle)
 		x.handleRefusal(action, response, verdict)
@@ -77,7 +78,7 @@
 	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
 		return x.relayStream(ctx, wd, action, response)
 	}
-	return x.passResponse(ctx, action, response)
+	return x.passResponse(ctx, wd, action, response)
 }
 
 // buildCall returns the call to the endpoint for an attempt.
@@ -94,13 +95,19 @@
 	return call
 }
 
-// timedOut reports whether the watchdog cancelled an attempt because its endpoint was unresponsive.
-func (x *exchange) timedOut(ctx context.Context) bool { return context.Cause(ctx) == errInactive }
+// classify interprets the status and header of a response, and reports an endpoint that is leaving.
+func (x *exchange) classify(action decider.Action, response *forwarder.Response) Verdict {
+	verdict := x.relayer.Dialect.Classify(response.Status, response.Header)
+	if verdict.Leaving {
+		x.ticket.Leaving(action.Endpoint)
+	}
+	return verdict
+}
 
 // endIfDone ends the request if its context is done for another reason than the watchdog. It reports
 // whether it did.
 func (x *exchange) endIfDone(ctx context.Context) bool {
-	if ctx.Err() == nil || x.timedOut(ctx) {
+	if ctx.Err() == nil || abandoned(ctx) != "" {
 		return false
 	}
 	x.endWithoutAttempt(outcomeForContext(ctx), 0)
@@ -114,11 +121,8 @@
 	if x.endIfDone(ctx) {
 		return true
 	}
-	reason := classifier.RetryStreamBroken
-	switch {
-	case x.timedOut(ctx):
-		reason = classifier.RetryEndpointUnresponsive
-	case notRun:
+	reason := cmp.Or(abandoned(ctx), classifier.RetryStreamBroken)
+	if notRun && abandoned(ctx) == "" {
 		reason = classifier.RetryConnectFailed
 	}
 	x.logAttemptFailure(action, reason, err)
@@ -134,7 +138,7 @@
 		reason = classifier.RetryEndpointLeaving
 	}
 	x.logAttemptFailure(action, reason, errors.Errorf("status %d", response.Status))
-	x.ticket.Failed(action.Attempt, action.Endpoint, reason, true, x.stream.events)
+	x.ticket.Refused(action.Attempt, action.Endpoint, reason, verdict.RetryAfter, x.stream.events)
 }
 
 // handleBrokenResponse reports an attempt whose response is incomplete or not authentic.
@@ -142,10 +146,7 @@
 	if x.endIfDone(ctx) {
 		return true
 	}
-	reason := classifier.RetryStreamBroken
-	if x.timedOut(ctx) {
-		reason = classifier.RetryEndpointUnresponsive
-	}
+	reason := cmp.Or(abandoned(ctx), classifier.RetryStreamBroken)
 	x.logAttemptFailure(action, reason, err)
 	x.ticket.Failed(action.Attempt, action.Endpoint, reason, false, x.stream.events)
 	return false
@@ -192,11 +193,12 @@
 
 // passResponse sends a response to the caller. The first maxBufferedBytes are buffered; the rest of a
 // longer response is streamed.
-func (x *exchange) passResponse(ctx context.Context, action decider.Action, response *forwarder.Response) bool {
+func (x *exchange) passResponse(ctx context.Context, wd *watchdog, action decider.Action, response *forwarder.Response) bool {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
 		return x.handleBrokenResponse(ctx, action, err)
 	}
+	wd.progress()
 	x.ticket.Started(action.Attempt, action.Endpoint)
 	x.writeHeader(response.Status, response.Header)
 	_, err = x.w.Write(body)
@@ -278,7 +280,7 @@
 	var verdict Verdict
 	if err == nil {
 		defer response.Body.Close()
-		verdict = x.relayer.Dialect.Classify(response.Status, response.Header)
+		verdict = x.classify(action, response)
 		var body []byte
 		if body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes)); err == nil {
 			x.handle, err = x.relayer.Dialect.DecodeHandle(target.Address, response.Status, body)
@@ -286,7 +288,7 @@
 		}
 	}
 	if err == nil {
-		wd.touch()
+		wd.progress()
 		x.ticket.Prefilled(action.Attempt, action.Endpoint)
 		return false
 	}
@@ -302,11 +304,9 @@
 	case verdict.NotRun:
 		reason = classifier.RetryEndpointRefused
 	}
-	if x.timedOut(ctx) {
-		reason = classifier.RetryEndpointUnresponsive
-	}
+	reason = cmp.Or(abandoned(ctx), reason)
 	x.logAttemptFailure(action, reason, err)
 	// Processing a prompt does not count as executing the request.
-	x.ticket.Failed(action.Attempt, action.Endpoint, reason, true, 0)
+	x.ticket.Refused(action.Attempt, action.Endpoint, reason, verdict.RetryAfter, 0)
 	return false
 }
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"apricotspool/decider"
+	"apricotspool/detector"
 	"apricotspool/namer"
 )
 
@@ -24,6 +25,10 @@
 	DecodeHandle(at netip.AddrPort, status int, body []byte) (Handle, error)
 	// ReleaseCall returns the method and path of the call that releases a handle.
 	ReleaseCall(handle Handle) (method, path string)
+	// ReportCall returns the method and path of the call for an engine's load report.
+	ReportCall() (method, path string)
+	// DecodeReport parses a load report.
+	DecodeReport(status int, body []byte) (detector.Report, error)
 	// RetryAfter sets the header that tells the caller when to retry.
 	RetryAfter(header http.Header, after time.Duration)
 	// SetRequestID copies the request's id to a response that the daemon itself generates.
@@ -71,4 +76,7 @@
 	NotRun        bool // the endpoint guarantees that it did not execute the request
 	WrongEndpoint bool // another endpoint uses the address, or the endpoint has another role
 	Signed        bool // the response carries the endpoint's signature
+	Leaving       bool // the endpoint is about to leave
+	// RetryAfter is how long the endpoint wants no requests from this daemon; 0 if it does not say.
+	RetryAfter time.Duration
 }
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -22,6 +23,9 @@
 	lastEventID string       // id of the last event sent
 	events      namer.Tokens // sent so far
 	partial     []byte       // received bytes after the last complete event
+	firstAt     time.Time    // when the first event was sent
+	lastAt      time.Time    // when the last event was sent
+	longestGap  time.Duration
 }
 
 // resumeAfter returns the id of the event after which the next attempt starts.
@@ -42,9 +46,11 @@
 	for {
 		n, err := response.Body.Read(chunk)
 		if n > 0 {
-			wd.touch()
 			x.stream.partial = append(x.stream.partial, chunk[:n]...)
 			sent, writeErr := x.writeEvents(action, response)
+			if sent {
+				wd.progress()
+			}
 			if writeErr == nil && sent {
 				writeErr = flusher.Flush()
 			}
@@ -85,11 +91,22 @@
 	if _, err := x.w.Write(complete); err != nil {
 		return true, errors.Wrap(err, "write events")
 	}
+	x.stream.recordSent(time.Now())
 	x.countEvents(complete)
 	x.stream.partial = x.stream.partial[:copy(x.stream.partial, x.stream.partial[end+2:])]
 	return true, nil
 }
 
+// recordSent records when events were sent to the caller.
+func (s *streamState) recordSent(now time.Time) {
+	if s.firstAt.IsZero() {
+		s.firstAt = now
+	} else {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+}
+
 // countEvents updates the number of events sent and the id of the last one.
 func (x *exchange) countEvents(events []byte) {
 	for line := range bytes.Lines(events) {
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -29,6 +29,7 @@
 	version  namer.ConfigVersion // version of the routing table
 	route    *matcher.Route
 	service  namer.Service
+	engine   bool      // the service is one of engines, which report their load
 	deadline time.Time // the earlier of the caller's and the route's
 	body     []byte
 
@@ -69,7 +70,7 @@
 		x.refuse(classifier.NoEndpoint, defaultRetryAfter)
 		return false
 	}
-	x.route, x.service = route, service
+	x.route, x.service, x.engine = route, service, table.Services[service].Engine != nil
 	limit := route.Timeout
 	if x.call.Timeout > 0 && (limit == 0 || x.call.Timeout < limit) {
 		limit = x.call.Timeout
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -21,6 +21,7 @@
 
 	"apricotspool/classifier"
 	"apricotspool/decider"
+	"apricotspool/detector"
 	"apricotspool/dispatcher"
 	"apricotspool/forwarder"
 	"apricotspool/matcher"
@@ -61,6 +62,16 @@
 	return http.MethodDelete, "/handles/" + handle.ID
 }
 
+func (dialect) ReportCall() (string, string) { return http.MethodGet, "/report" }
+
+func (dialect) DecodeReport(status int, body []byte) (detector.Report, error) {
+	if status != http.StatusOK {
+		return detector.Report{}, fmt.Errorf("status %d", status)
+	}
+	var report detector.Report
+	return report, json.Unmarshal(body, &report)
+}
+
 func (dialect) RetryAfter(header http.Header, after time.Duration) {
 	header.Set("Retry-After", after.String())
 }
@@ -189,9 +200,13 @@
 		{Name: "short", Host: "h", Prefix: "/short/", Kind: matcher.Unsafe, Timeout: 100 * time.Millisecond},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: matcher.Stream, Timeout: 5 * time.Second},
 		{Name: "resumed", Host: "h", Prefix: "/resumed/", Kind: matcher.Stream, Resumable: true, Timeout: 5 * time.Second, Attempts: 2},
-	}, nil, matcher.Limits{BodyBytes: 1000})
+		{Name: "engine", Host: "h", Prefix: "/engine/", Kind: matcher.Stream, Resumable: true, Timeout: 5 * time.Second, Target: 100 * time.Millisecond, Attempts: 2},
+	}, []matcher.Service{{Name: "e", Engine: &matcher.Engine{}}}, matcher.Limits{BodyBytes: 1000})
 	for i := range table.Routes {
 		table.Routes[i].Services = []matcher.WeightedService{{Service: "s", Weight: 1}}
+		if table.Routes[i].Name == "engine" {
+			table.Routes[i].Services[0].Service = "e"
+		}
 	}
 	d := &dispatcher.Dispatcher{Core: f.core}
 	ctx, stop := context.WithCancel(t.Context())
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -54,5 +54,12 @@
 		event = x.relayer.Log.Warn()
 	}
 	event.Str("request", x.call.ID).Str("service", string(x.service)).Str("outcome", string(x.outcome)).
-		Uint64("version", uint64(x.version)).Bool("may-have-run", x.mayHaveRun).Dur("took-ms", took).Msg("request-ended")
+		Uint64("version", uint64(x.version)).Bool("may-have-run", x.mayHaveRun).Dur("took-ms", took)
+	if x.route != nil {
+		event.Str("route", string(x.route.Name))
+	}
+	if !x.stream.firstAt.IsZero() {
+		event.Dur("first-event-ms", x.stream.firstAt.Sub(x.startTime)).Dur("longest-gap-ms", x.stream.longestGap)
+	}
+	event.Msg("request-ended")
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -36,10 +36,12 @@
 	// Log receives a line for each decision about a request, each failed attempt and each outcome.
 	Log zerolog.Logger
 
-	activity activityTracker
-	draining atomic.Bool
-	inFlight atomic.Int64
-	active   sync.WaitGroup
+	activity  activityTracker
+	latencies latencyTracker
+	reports   reportCache
+	draining  atomic.Bool
+	inFlight  atomic.Int64
+	active    sync.WaitGroup
 }
 
 // SetDraining makes responses carry "Connection: close", so that callers reconnect elsewhere.
--- /dev/null
+++ b/relayer/reports.go
@@ -0,0 +1,89 @@
+package relayer
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"apricotspool/detector"
+	"apricotspool/forwarder"
+	"apricotspool/namer"
+)
+
+const (
+	// reportTimeout bounds the call for a report. Endpoints answer it without queueing, whatever their
+	// speed, so that it covers the network only.
+	reportTimeout = 350 * time.Millisecond
+	// maxReportBytes bounds a report.
+	maxReportBytes = 1 << 20
+)
+
+// reportCache fetches reports of endpoints. Attempts that ask for the same endpoint share a call.
+type reportCache struct {
+	mu    sync.Mutex
+	calls map[namer.Endpoint]*reportCall
+}
+
+// reportCall is a call for a report. report and err are valid once done is closed.
+type reportCall struct {
+	done   chan struct{}
+	endsAt time.Time // until then the result is reused
+	report detector.Report
+	err    error
+}
+
+// ask returns a report of an endpoint that is at most detector.ReportLag old, or an error if the endpoint doesn't
+// respond.
+func (c *reportCache) ask(ctx context.Context, r *Relayer, target forwarder.Target) (detector.Report, error) {
+	now := time.Now()
+	c.mu.Lock()
+	call := c.calls[target.Endpoint]
+	if call == nil || now.After(call.endsAt) {
+		call = &reportCall{done: make(chan struct{}), endsAt: now.Add(reportTimeout)}
+		if c.calls == nil {
+			c.calls = map[namer.Endpoint]*reportCall{}
+		}
+		c.calls[target.Endpoint] = call
+		go c.fetch(r, target, call)
+	}
+	c.mu.Unlock()
+	select {
+	case <-call.done:
+		return call.report, call.err
+	case <-ctx.Done():
+		return detector.Report{}, ctx.Err()
+	}
+}
+
+func (c *reportCache) fetch(r *Relayer, target forwarder.Target, call *reportCall) {
+	defer close(call.done)
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	call.report, call.err = r.fetchReport(ctx, target)
+	r.Metrics.Report(call.err == nil)
+	c.mu.Lock()
+	call.endsAt = time.Now().Add(detector.ReportLag)
+	c.mu.Unlock()
+	event := r.Log.Debug()
+	if call.err != nil {
+		event = r.Log.Info().Err(call.err)
+	}
+	event.Str("endpoint", string(target.Endpoint)).Int("waiting", call.report.Waiting).Int("running", call.report.Running).Msg("endpoint-asked")
+}
+
+func (r *Relayer) fetchReport(ctx context.Context, target forwarder.Target) (detector.Report, error) {
+	method, path := r.Dialect.ReportCall()
+	response, err := r.Endpoints.Forward(ctx, target, forwarder.Call{Method: method, Path: path})
+	if err != nil {
+		return detector.Report{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
+	if err != nil {
+		return detector.Report{}, errors.Wrap(err, "read report")
+	}
+	return r.Dialect.DecodeReport(response.Status, body)
+}
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -11,6 +12,8 @@
 
 	"apricotspool/classifier"
 	"apricotspool/decider"
+	"apricotspool/detector"
+	"apricotspool/namer"
 )
 
 // Guards against lost, duplicated or merged events when a stream breaks and is resumed at another endpoint.
@@ -173,3 +176,77 @@
 	is.Equal(f.core.waitKinds(4), []decider.EventKind{decider.EventFailed, decider.EventPrefilled, decider.EventStarted, decider.EventFinished})
 	is.True(f.core.waitEvents(4)[0].NotRun)
 }
+
+// reportEndpoint starts an engine that answers calls for a report with report and other calls with respond.
+func (f *fixture) reportEndpoint(name namer.Endpoint, report func() (detector.Report, bool), respond http.HandlerFunc) *atomic.Int32 {
+	var asked atomic.Int32
+	f.endpoint(name, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/report" {
+			respond(w, r)
+			return
+		}
+		asked.Add(1)
+		current, answers := report()
+		if !answers {
+			<-r.Context().Done()
+			return
+		}
+		json.NewEncoder(w).Encode(current)
+	})
+	return &asked
+}
+
+// Guards against abandoning an engine that works although nothing has come from it for long, against waiting
+// for one that has hung or lost the request, and against one call for a report for each of many attempts.
+func TestSilentEngineIsAsked(t *testing.T) {
+	var progress atomic.Int64
+	sleep := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(2500 * time.Millisecond):
+			streamFrom(3, func() {})(w, r)
+		}
+	}
+	for name, c := range map[string]struct {
+		report func() (detector.Report, bool)
+		reason classifier.RetryReason // "" if the first attempt is kept
+	}{
+		"works":          {func() (detector.Report, bool) { return detector.Report{Running: 1, KVUsed: progress.Add(1)}, true }, ""},
+		"hangs":          {func() (detector.Report, bool) { return detector.Report{Running: 1, KVUsed: 1}, true }, classifier.RetryEndpointUnresponsive},
+		"has lost it":    {func() (detector.Report, bool) { return detector.Report{}, true }, classifier.RetryResponseLost},
+		"doesn't report": {func() (detector.Report, bool) { return detector.Report{}, false }, classifier.RetryEndpointUnresponsive},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, dispatchTo("a", "b")...)
+			asked := f.reportEndpoint("a", c.report, sleep)
+			f.endpoint("b", streamFrom(3, func() {}))
+			is.Equal(f.send("POST", "/engine/", "").body, events(3))
+			is.True(asked.Load() >= 1 && asked.Load() <= 6)
+			first := f.core.waitEvents(1)[0]
+			is.Equal(first.Reason, c.reason)
+			is.Equal(first.Kind == decider.EventFailed, c.reason != "")
+		})
+	}
+}
+
+// Guards against an endpoint that keeps an attempt alive with bytes that never complete an event.
+func TestDrippingBytesAreNoProgress(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, dispatchTo("a", "b")...)
+	f.endpoint("a", func(w http.ResponseWriter, r *http.Request) {
+		streamFrom(2, func() {
+			io.WriteString(w, "id: 3\ndata: ")
+			for r.Context().Err() == nil {
+				io.WriteString(w, "x")
+				w.(http.Flusher).Flush()
+				time.Sleep(10 * time.Millisecond)
+			}
+		})(w, r)
+	})
+	f.endpoint("b", streamFrom(4, func() {}))
+	got := f.send("POST", "/resumed/", "")
+	is.Equal(got.body, events(4))
+	is.True(got.complete)
+	is.Equal(f.core.waitEvents(2)[1].Reason, classifier.RetryEndpointUnresponsive)
+}
--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -8,19 +9,22 @@
 
 	"github.com/pkg/errors"
 
+	"apricotspool/classifier"
+	"apricotspool/detector"
+	"apricotspool/forwarder"
 	"apricotspool/namer"
 )
 
-// inactivityTimeout is how long an endpoint may send nothing, beyond the expected latency, before attempts
-// that can be retried are cancelled. A busy engine takes up to a third of a second between the events of a
-// stream.
-const inactivityTimeout = 400 * time.Millisecond
+// Causes of contexts that the watchdog cancelled.
+var (
+	errInactive = errors.New("endpoint is unresponsive")
+	errLost     = errors.New("endpoint no longer has the request")
+)
 
-// errInactive is the cause of contexts that the watchdog cancelled.
-var errInactive = errors.New("endpoint is unresponsive")
+// defaultTarget is assumed for routes without a latency target.
+const defaultTarget = 200 * time.Millisecond
 
-// activityTracker records when each endpoint last sent something on any attempt. An endpoint that responds
-// to other attempts is busy rather than unresponsive.
+// activityTracker records when each endpoint last made progress on any attempt.
 type activityTracker struct {
 	lastActive sync.Map // namer.Endpoint to *atomic.Int64, nanoseconds since processStart
 }
@@ -35,40 +39,134 @@
 	return last.(*atomic.Int64)
 }
 
-func touch(last *atomic.Int64) { last.Store(int64(time.Since(processStart))) }
+// callKind distinguishes calls with different usual latencies.
+type callKind struct {
+	service namer.Service
+	prefill bool
+	started bool // between two events of a response
+}
+
+// latencyTracker learns the latency of each kind of call from all attempts of this daemon.
+type latencyTracker struct {
+	kinds sync.Map // callKind to *sharedLatency
+}
+
+type sharedLatency struct {
+	mu      sync.Mutex
+	latency detector.Latency
+}
+
+func (t *latencyTracker) kind(k callKind) *sharedLatency {
+	if shared, known := t.kinds.Load(k); known {
+		return shared.(*sharedLatency)
+	}
+	shared, _ := t.kinds.LoadOrStore(k, &sharedLatency{})
+	return shared.(*sharedLatency)
+}
+
+func (s *sharedLatency) observe(silence, predicted time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency.Observe(silence, predicted)
+}
+
+// watched describes an attempt to its watchdog.
+type watched struct {
+	target    forwarder.Target
+	kind      callKind
+	callID    string
+	predicted time.Duration // until the first event
+	latency   time.Duration // the route's latency target
+	deadline  time.Time
+	reports   bool // the endpoint reports its load
+	replace   bool // another attempt can follow
+}
 
-// watchdog cancels the context of an attempt when its endpoint has sent nothing for too long.
+// watchdog cancels the context of an attempt that will get no response; see detector.Watch.
 type watchdog struct {
-	lastActive *atomic.Int64
-	start      time.Duration // start of the attempt, since processStart
-	timeout    time.Duration // inactivity after which the attempt is cancelled
-	cancel     context.CancelCauseFunc
-	timer      *time.Timer // nil if the attempt must not be cancelled
+	watched
+	relayer        *Relayer
+	lastActive     *atomic.Int64 // of the endpoint, since processStart
+	lastOwn        atomic.Int64  // of this attempt, since processStart
+	started        atomic.Bool   // the first event has arrived
+	first, between *sharedLatency
+	cancel         context.CancelCauseFunc
+	ctx            context.Context
+	timer          *time.Timer // nil if no other attempt can follow
+
+	watch detector.Watch // used only by check, which does not run concurrently with itself
 }
 
-// startWatchdog starts a watchdog for an attempt at an endpoint. A timeout of 0 means none. The caller
-// must stop the watchdog.
-func (r *Relayer) startWatchdog(ctx context.Context, name namer.Endpoint, timeout time.Duration) (context.Context, *watchdog) {
+// startWatchdog starts a watchdog for an attempt. The caller must stop it.
+func (r *Relayer) startWatchdog(ctx context.Context, w watched) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	wd := &watchdog{lastActive: r.activity.endpoint(name), start: time.Since(processStart), timeout: timeout, cancel: cancel}
-	if timeout > 0 {
-		wd.timer = time.AfterFunc(timeout, wd.check)
+	w.latency = cmp.Or(w.latency, defaultTarget)
+	between := w.kind
+	between.started = true
+	wd := &watchdog{
+		watched: w, relayer: r, lastActive: r.activity.endpoint(w.target.Endpoint), cancel: cancel, ctx: ctx,
+		first: r.latencies.kind(w.kind), between: r.latencies.kind(between),
+		watch: detector.Watch{CallID: w.callID, Reports: w.reports},
+	}
+	wd.lastOwn.Store(int64(time.Since(processStart)))
+	if w.replace {
+		wd.timer = time.AfterFunc(wd.patience(), wd.check)
 	}
 	return ctx, wd
 }
 
+// patience returns how long the endpoint may send nothing before it is in doubt.
+func (wd *watchdog) patience() time.Duration {
+	shared, predicted := wd.first, wd.predicted
+	if wd.started.Load() {
+		shared, predicted = wd.between, 0
+	}
+	shared.mu.Lock()
+	defer shared.mu.Unlock()
+	return wd.watch.Patience(&shared.latency, predicted, wd.latency, time.Until(wd.deadline))
+}
+
+func (wd *watchdog) silence(now time.Duration) detector.Silence {
+	own := now - time.Duration(wd.lastOwn.Load())
+	return detector.Silence{Attempt: own, Endpoint: min(own, now-time.Duration(wd.lastActive.Load()))}
+}
+
+// check is called by the timer.
 func (wd *watchdog) check() {
-	last := max(time.Duration(wd.lastActive.Load()), wd.start)
-	inactive := time.Since(processStart) - last
-	if inactive >= wd.timeout {
+	now, patience := time.Since(processStart), wd.patience()
+	step := wd.watch.Check(now, wd.silence(now), patience)
+	if step.Action == detector.Ask {
+		report, err := wd.relayer.reports.ask(wd.ctx, wd.relayer, wd.target)
+		began := now
+		now = time.Since(processStart)
+		if silence := wd.silence(now); err != nil {
+			step = wd.watch.NotReported(now, began, silence)
+		} else {
+			step = wd.watch.Reported(now, silence, patience, wd.predicted, report)
+		}
+	}
+	switch step.Action {
+	case detector.Wait:
+		wd.timer.Reset(step.Wait)
+	case detector.AbandonLost:
+		wd.cancel(errLost)
+	default:
 		wd.cancel(errInactive)
-		return
 	}
-	wd.timer.Reset(wd.timeout - inactive)
 }
 
-// touch records that the endpoint has sent something.
-func (wd *watchdog) touch() { touch(wd.lastActive) }
+// progress records that the attempt has made progress: its response has begun, or a whole event has arrived.
+// Bytes that complete no event are none.
+func (wd *watchdog) progress() {
+	now := time.Since(processStart)
+	own := now - time.Duration(wd.lastOwn.Swap(int64(now)))
+	wd.lastActive.Store(int64(now))
+	if wd.started.Swap(true) {
+		wd.between.observe(own, 0)
+	} else {
+		wd.first.observe(own, wd.predicted)
+	}
+}
 
 // stop stops the watchdog and releases the context.
 func (wd *watchdog) stop() {
@@ -77,3 +175,14 @@
 	}
 	wd.cancel(nil)
 }
+
+// abandoned returns the reason for which the watchdog cancelled an attempt, or "" if it did not.
+func abandoned(ctx context.Context) classifier.RetryReason {
+	switch context.Cause(ctx) {
+	case errInactive:
+		return classifier.RetryEndpointUnresponsive
+	case errLost:
+		return classifier.RetryResponseLost
+	}
+	return ""
+}
