placer: Model the prompt in progress, measure rates while engines are busy, share what is cached

Engines finish a prompt that they have begun (up to 50,000 tokens, 1.3 s there) before a more urgent one, and the ledgers took only more urgent prompts into account. Rates were measured with the network's time in them, the lateness was capped at 0.2 s and saturated, and costs were fixed times that fit one engine. Ruled out: the slots (never full there), the links between engines (6% used). Change: the ledger knows the prompt in progress; rates come from prompts that were waiting when the one before them ended; lateness, overflow and pause costs are fractions of the processing time or of the target; transfer times come from the configuration. Prefixes that an engine has cached are broadcast with the summaries, so that all daemons fetch from a holder, and expect the processing of a prefix that nobody holds. The time for which a prefix is kept follows from the engine's memory and inflow. Late work is declined when the caller would have given up. Tests: placer TestUrgentPromptAvoidsLongPromptInProgress (fails before), TestEnginesOfAnySpeedMeetTargets (a guard, passes before as well). TestAffinityOverflowUsesOneEngine unchanged. Conclusion: one estimate for all speeds. Next: the first seconds with cold caches, and the bursts.

--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -119,7 +119,7 @@
 	for name, s := range table.Services {
 		view := decider.ServiceView{Name: name, Plain: s.Engine == nil}
 		if s.Engine != nil {
-			view.Backups, view.EventTokens = s.Engine.Backups, s.Engine.EventTokens
+			view.Backups, view.EventTokens, view.KVTransfer = s.Engine.Backups, s.Engine.EventTokens, s.Engine.KVTransfer
 		}
 		fleet.Services = append(fleet.Services, view)
 	}
--- a/decider/event.go
+++ b/decider/event.go
@@ -33,6 +33,8 @@
 	Target time.Duration
 	// TargetGap is the longest gap between two events that counts as on time; 0 means no target.
 	TargetGap time.Duration
+	// Patience is how long the caller waits for the first event, or for the next one; 0 means until Deadline.
+	Patience time.Duration
 	// Priority ranks requests of routes, which have no named ranks; 0 is the most urgent.
 	Priority int
 	// Parts are the prompt's parts in order, if the caller states them. Requests with common leading
--- a/decider/fleet.go
+++ b/decider/fleet.go
@@ -47,6 +47,8 @@
 	Backups bool
 	// EventTokens is the number of tokens in one event of a stream; 0 when unknown.
 	EventTokens namer.Tokens
+	// KVTransfer is the time to transfer the KV cache of one token within a data centre; 0 when unknown.
+	KVTransfer time.Duration
 	Deadline    time.Duration
 }
 
--- a/matcher/route.go
+++ b/matcher/route.go
@@ -64,6 +64,8 @@
 	HandleTTL         time.Duration
 	SupportsMigration bool         // running requests can move to another engine
 	EventTokens       namer.Tokens // tokens per event of a stream
+	// KVTransfer is the time to transfer the KV cache of one token within a data centre.
+	KVTransfer time.Duration
 	Backups           bool         // the KV cache of a running request can be replicated as it grows
 }
 
--- a/placer/affinity.go
+++ b/placer/affinity.go
@@ -18,10 +18,10 @@
 
 func (p *pool) prefixAffinity(q *request) prefixAffinity {
 	var a prefixAffinity
-	if len(q.Parts) < 2 {
+	prefix := q.prefix()
+	if prefix == 0 {
 		return a
 	}
-	prefix := q.Parts[len(q.Parts)-2].ID
 	var prefill, decode [affinityRanks]uint64
 	for _, e := range p.endpoints {
 		if e.leaving() {
@@ -63,12 +63,31 @@
 // isPreferred reports whether an engine is the affinity engine of its role.
 func (a *prefixAffinity) isPreferred(e *endpoint) bool { return a.rank(e) == 0 }
 
-// fetchSource returns the affinity engine from which an engine fetches a prefix that it has not cached.
-func (a *prefixAffinity) fetchSource(e *endpoint) *endpoint {
+// fetchSource returns the engine from which an engine fetches a prefix that it has not cached: an affinity
+// engine that holds the prefix, or else the one that most probably does. It reports whether the source
+// holds it.
+func (a *prefixAffinity) fetchSource(now namer.Seconds, e *endpoint, prefix uint64) (*endpoint, bool) {
+	for _, source := range []*endpoint{a.decode[0], a.prefill[0], a.decode[1], a.prefill[1]} {
+		if source != nil && source != e && source.offers(now, prefix) {
+			return source, true
+		}
+	}
 	if e == a.decode[0] {
-		return a.prefill[0]
+		return a.prefill[0], false
+	}
+	return a.decode[0], false
+}
+
+// held reports whether one of the engines has cached the prefix or is processing it.
+func (a *prefixAffinity) held(now namer.Seconds, prefix uint64) bool {
+	for i := range affinityRanks {
+		for _, e := range []*endpoint{a.prefill[i], a.decode[i]} {
+			if e != nil && e.holds(now, prefix) {
+				return true
+			}
+		}
 	}
-	return a.decode[0]
+	return false
 }
 
 func rendezvous(seed uint64, name string) uint64 {
--- a/placer/core.go
+++ b/placer/core.go
@@ -44,8 +44,9 @@
 	service        namer.Service
 	plain          bool
 	backups        bool
-	tokensPerEvent float64     // output tokens in one stream event
-	endpoints      []*endpoint // in name order
+	tokensPerEvent float64       // output tokens in one stream event
+	kvTransfer     namer.Seconds // of one token within a data centre
+	endpoints      []*endpoint   // in name order
 	prefillRates   map[namer.Role]float64
 	retryBudget    retryBudget
 }
@@ -56,6 +57,7 @@
 	pool             *pool
 	arrived          namer.Seconds
 	deadline         namer.Seconds
+	firstEventBy     namer.Seconds // when the caller gives up without a first event
 	attempt          namer.Attempt
 	attemptsReceived int  // attempts that an endpoint may have received
 	prefillAttempted bool // a prefill engine has received the prompt
@@ -122,6 +124,7 @@
 		}
 		p := c.pools[s.Name]
 		p.plain, p.backups, p.tokensPerEvent = s.Plain, s.Backups, float64(s.EventTokens)
+		p.kvTransfer = namer.SecondsOf(s.KVTransfer)
 	}
 	for _, view := range fleet.Endpoints {
 		p := c.pools[view.Service]
@@ -154,6 +157,10 @@
 	asserter.Check(c.requests[r.ID] == nil, "request IDs are unique", "request %s", r.ID)
 	at := c.seconds(now)
 	q := &request{Request: r, pool: c.pools[r.Service], arrived: at, deadline: c.seconds(r.Deadline)}
+	q.firstEventBy = q.deadline
+	if r.Patience > 0 {
+		q.firstEventBy = min(q.deadline, at+namer.SecondsOf(r.Patience))
+	}
 	c.requests[r.ID] = q
 	if q.pool == nil {
 		c.refuse(at, q, classifier.NoEndpoint, noEndpointRetry)
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+
 	"apricotspool/decider"
 	"apricotspool/namer"
 )
@@ -19,6 +21,41 @@
 
 	load          Load // latest summary from the ledger owner; engines only
 	loadUpdatedAt namer.Seconds
+	cached        map[uint64]cachedPrefix
+}
+
+// cachedPrefix is what is known of a prefix at an engine.
+type cachedPrefix struct {
+	usedAt namer.Seconds // when a prompt with the prefix was last sent there, as far as known
+	ready  bool          // the engine has processed it
+}
+
+// recordPrefix records a prefix that an engine has cached, or will have when it has processed a prompt that
+// was sent there.
+func (e *endpoint) recordPrefix(now namer.Seconds, prefix uint64, ready bool) {
+	if prefix == 0 {
+		return
+	}
+	if e.cached == nil || len(e.cached) >= maxRecentPrefixes {
+		e.cached = map[uint64]cachedPrefix{}
+	}
+	known := e.cached[prefix]
+	e.cached[prefix] = cachedPrefix{usedAt: now, ready: ready || (known.ready && e.fresh(now, known))}
+}
+
+func (e *endpoint) fresh(now namer.Seconds, p cachedPrefix) bool {
+	return now-p.usedAt < e.load.PrefixTTL
+}
+
+// holds reports whether a prompt that is sent to an engine now will probably find its prefix cached there.
+func (e *endpoint) holds(now namer.Seconds, prefix uint64) bool {
+	p, known := e.cached[prefix]
+	return known && e.fresh(now, p)
+}
+
+// offers reports whether other engines can fetch a prefix from an engine.
+func (e *endpoint) offers(now namer.Seconds, prefix uint64) bool {
+	return e.holds(now, prefix) && e.cached[prefix].ready
 }
 
 // leaving reports whether the endpoint is leaving, by its entry or by its own responses.
@@ -72,10 +109,18 @@
 // defaultPrefillRate is used until a rate has been measured, in prompt tokens per second.
 const defaultPrefillRate = 100_000
 
+// mixedRateFactor is the prefill rate of engines that also decode, relative to the others, until it has been
+// measured.
+const mixedRateFactor = 0.5
+
 // prefillRate returns the average prefill rate of the pool's engines of a role.
 func (p *pool) prefillRate(role namer.Role) float64 {
 	if r := p.prefillRates[role]; r > 0 {
 		return r
 	}
-	return defaultPrefillRate
+	rate := cmp.Or(p.prefillRates[namer.RolePrefill], defaultPrefillRate)
+	if role != namer.RolePrefill {
+		rate *= mixedRateFactor
+	}
+	return rate
 }
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -86,8 +86,7 @@
 	KVRead: 4e-13, KVTokens: 1_700_000, MaxSequences: 64, StepTokens: 2048, PrefillStepTokens: 2048, CacheTokens: 1_500_000, ExportRate: 9_000_000,
 }
 
-func decodeClass() modeler.Class {
-	class := prefillClass
+func decodeClass(class modeler.Class) modeler.Class {
 	class.PrefillToken *= 2
 	class.StepTokens = 512
 	return class
@@ -95,6 +94,20 @@
 
 // newFleet returns a fleet of daemons, prefill engines and decode engines, with the prefill engines first.
 func newFleet(t *testing.T, hosts, prefillEngines, decodeEngines int) *fleet {
+	return newFleetOf(t, prefillClass, hosts, prefillEngines, decodeEngines)
+}
+
+// slower returns a class that takes a multiple of the time for everything.
+func slower(class modeler.Class, factor float64) modeler.Class {
+	for _, cost := range []*time.Duration{&class.StepBase, &class.PrefillToken, &class.Sequence} {
+		*cost = time.Duration(float64(*cost) * factor)
+	}
+	class.Attention, class.KVRead, class.ExportRate = class.Attention*factor, class.KVRead*factor, class.ExportRate/factor
+	return class
+}
+
+// newFleetOf returns a fleet with a class of prefill engines.
+func newFleetOf(t *testing.T, prefillClass modeler.Class, hosts, prefillEngines, decodeEngines int) *fleet {
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), engines: map[namer.Endpoint]*engine{}, requests: map[namer.StreamID]*trackedRequest{},
 		basis: map[namer.StreamID]decider.Basis{},
@@ -102,7 +115,7 @@
 	}
 	for i := range prefillEngines + decodeEngines {
 		name := namer.Endpoint(fmt.Sprintf("e-%02d", i))
-		e := &engine{Engine: modeler.Engine{Name: name, Class: decodeClass(), Role: namer.RoleDecode}, runs: map[namer.StreamID]int{}}
+		e := &engine{Engine: modeler.Engine{Name: name, Class: decodeClass(prefillClass), Role: namer.RoleDecode}, runs: map[namer.StreamID]int{}}
 		role := namer.RoleDecode
 		if i < prefillEngines {
 			e.Engine = modeler.Engine{Name: name, Class: prefillClass, Role: namer.RolePrefill}
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -8,6 +8,7 @@
 // reservations, so that daemons that decide concurrently don't claim the same capacity.
 type ledger struct {
 	reservations   map[reservationKey]*reservation
+	sequence       uint64
 	queuedTokens   [buckets]float64 // prompt tokens not yet processed
 	running        int
 	lateRunning    int // of the running ones, those with lateClass
@@ -15,14 +16,19 @@
 	minGap         namer.Seconds // smallest Work.Gap of the streams; 0 without any
 	topStreamClass int           // most urgent class of the streams; noStreamClass without any
 
-	// The prompt queue has not been empty since busySince; the last prompt was processed at lastPrefillAt.
-	busySince, lastPrefillAt namer.Seconds
-	measuredTokens           float64 // tokens processed since busySince
-	rate                     float64 // tokens per second; 0 before the first measurement
+	// current is the prompt that the engine is assumed to process since currentSince. Engines finish a prompt
+	// that they have begun, whatever comes after it.
+	current      *reservation
+	currentSince namer.Seconds
+	rate         rateEstimate
+	defaultRate  float64 // until rate has been measured
+	kvTokens     float64 // capacity of the engine's memory; 0 when unknown
+	newTokens    inflow
 
 	prefillQuota   leakyBucket
 	lateness       latenessEstimate
 	recentPrefixes map[uint64]namer.Seconds // when a prefix was last placed here
+	newPrefixes    []uint64                 // recorded since the last broadcast
 	idleReported   bool                     // the last summary reported an empty ledger
 }
 
@@ -34,18 +40,19 @@
 type reservation struct {
 	work         Work
 	tokens       float64 // prompt tokens that the engine has to process
+	placedAt     namer.Seconds
+	sequence     uint64 // order of the reservations of the ledger
+	fillsCache   bool   // the engine did not hold the prefix
 	prefilled    bool
 	prefillDueAt namer.Seconds
 	expiresAt    namer.Seconds
 }
 
 const (
-	// rateSample is the minimum busy time for a measurement of the rate.
-	rateSample namer.Seconds = 0.03
 	// Late work is declined while an engine runs lateOvercommit times as many requests as it has slots, so
 	// that the engine's own queue keeps room for work that can meet its target.
 	lateOvercommit = 2
-	// rateWeight is the weight of one measurement in the moving average.
+	// rateWeight is the weight of one summary in the average rate of a pool.
 	rateWeight = 0.25
 )
 
@@ -58,34 +65,59 @@
 }
 
 // queueDelay returns the time until the prompts of a bucket and of all more urgent buckets have been
-// processed.
-func (l *ledger) queueDelay(now namer.Seconds, upTo int, defaultRate float64) namer.Seconds {
-	rate := l.rateOrDefault(defaultRate)
+// processed. Engines finish a prompt that they have begun, also a less urgent one.
+func (l *ledger) queueDelay(now namer.Seconds, upTo int) namer.Seconds {
+	rate := l.rateOrDefault()
 	sum := 0.0
 	for b := 0; b <= upTo; b++ {
 		sum += l.queuedTokens[b]
 	}
-	if sum <= 0 {
-		return 0
+	if l.current != nil {
+		if bucket(l.current.work.Class) <= upTo {
+			sum -= l.current.tokens
+		}
+		sum = max(0, sum) + max(0, l.current.tokens-rate*float64(now-l.currentSince))
+	}
+	return namer.Seconds(sum / rate)
+}
+
+// startNext assumes that the engine begins with the first of the most urgent prompts.
+func (l *ledger) startNext(now namer.Seconds) {
+	l.current, l.currentSince = nil, now
+	for _, r := range l.reservations {
+		if !r.prefilled && r.tokens > 0 && (l.current == nil || r.before(l.current)) {
+			l.current = r
+		}
 	}
-	// Estimate of the tokens processed since the last prompt was completed.
-	done := min(float64(now-l.lastPrefillAt)*rate, sum)
-	return namer.Seconds((sum - max(0, done)) / rate)
 }
 
-func (l *ledger) rateOrDefault(defaultRate float64) float64 {
-	if l.rate > 0 {
-		return l.rate
+// before reports whether an engine begins with a prompt before another one.
+func (r *reservation) before(other *reservation) bool {
+	if r.work.Class != other.work.Class {
+		return r.work.Class < other.work.Class
+	}
+	if r.placedAt != other.placedAt {
+		return r.placedAt < other.placedAt
 	}
-	return defaultRate
+	return r.sequence < other.sequence
+}
+
+func (l *ledger) rateOrDefault() float64 {
+	if rate := l.rate.value(); rate > 0 {
+		return rate
+	}
+	if l.defaultRate > 0 {
+		return l.defaultRate
+	}
+	return defaultPrefillRate
 }
 
 // reserve grants a reservation if the prompt can be processed within its budget and without exceeding the
 // pause target of the engine's streams.
-func (l *ledger) reserve(now namer.Seconds, key reservationKey, r *ReserveRequest, slots int, defaultRate float64) bool {
+func (l *ledger) reserve(now namer.Seconds, key reservationKey, r *ReserveRequest, slots int) bool {
 	l.expire(now)
 	if r.Work.Class >= lateClass {
-		if l.running >= lateOvercommit*slots {
+		if l.running >= lateOvercommit*slots || l.queueDelay(now, buckets-1)+l.prefillTime(now, r.Work) > r.Budget {
 			return false
 		}
 		l.add(now, key, r.Work)
@@ -94,8 +126,8 @@
 	if l.running-l.lateRunning >= slots {
 		return false
 	}
-	prefillTime := namer.Seconds(l.uncachedTokens(now, r.Work) / l.rateOrDefault(defaultRate))
-	if l.queueDelay(now, bucket(r.Work.Class), defaultRate)+prefillTime+l.lateness.value > r.Budget {
+	prefillTime := l.prefillTime(now, r.Work)
+	if l.queueDelay(now, bucket(r.Work.Class))+prefillTime+l.lateness.value > r.Budget {
 		return false
 	}
 	if l.minGap > 0 && !r.Work.Stream && l.topStreamClass <= r.Work.Class && !l.prefillQuota.allows(now, prefillTime, l.minGap) {
@@ -105,6 +137,11 @@
 	return true
 }
 
+// prefillTime estimates how long the engine takes to process a prompt.
+func (l *ledger) prefillTime(now namer.Seconds, w Work) namer.Seconds {
+	return namer.Seconds(l.uncachedTokens(now, w) / l.rateOrDefault())
+}
+
 // add adds a reservation.
 func (l *ledger) add(now namer.Seconds, key reservationKey, w Work) {
 	if l.reservations == nil {
@@ -113,15 +150,16 @@
 	if l.reservations[key] != nil {
 		return // duplicate message
 	}
-	if l.totalQueuedTokens() <= 0 {
-		l.busySince, l.lastPrefillAt, l.measuredTokens = now, now, 0
-	}
 	tokens := l.uncachedTokens(now, w)
-	r := &reservation{work: w, tokens: tokens, expiresAt: now + w.Until}
-	r.prefillDueAt = now + l.queueDelay(now, bucket(w.Class), defaultPrefillRate) + namer.Seconds(tokens/l.rateOrDefault(defaultPrefillRate))
+	l.sequence++
+	r := &reservation{work: w, tokens: tokens, placedAt: now, sequence: l.sequence, expiresAt: now + w.Until, fillsCache: w.Prefix != 0 && !l.holdsPrefix(now, w.Prefix)}
+	r.prefillDueAt = now + l.queueDelay(now, bucket(w.Class)) + namer.Seconds(tokens/l.rateOrDefault())
 	l.reservations[key] = r
 	l.queuedTokens[bucket(w.Class)] += tokens
-	l.recordPrefix(now, w.Prefix)
+	if l.current == nil && tokens > 0 {
+		l.current, l.currentSince = r, now
+	}
+	l.recordPrefix(now, w)
 	l.running++
 	if w.Class >= lateClass {
 		l.lateRunning++
@@ -131,33 +169,61 @@
 		l.updateStreamLimits()
 	}
 	if tokens > 0 {
-		l.prefillQuota.add(now, namer.Seconds(tokens/l.rateOrDefault(defaultPrefillRate)))
+		l.prefillQuota.add(now, namer.Seconds(tokens/l.rateOrDefault()))
 	}
 }
 
-// Limits of the record of prefixes that an engine has probably cached. Engines evict the least recently used
-// prefixes; prefixTTL is about the time in which a busy engine replaces its whole cache.
+// Limits of the record of prefixes that an engine has probably cached.
 const (
-	maxRecentPrefixes               = 4096
-	prefixTTL         namer.Seconds = 15
+	maxRecentPrefixes = 4096
+	maxNewPrefixes    = 256
 )
 
-func (l *ledger) recordPrefix(now namer.Seconds, prefix uint64) {
-	if prefix == 0 {
+// Engines evict the least recently used prefixes. They keep one for about the time in which new tokens fill
+// cacheTurnover of their memory; the rest holds the requests in progress.
+const (
+	cacheTurnover                  = 0.5
+	minPrefixTTL     namer.Seconds = 2
+	maxPrefixTTL     namer.Seconds = 60
+	unknownPrefixTTL namer.Seconds = 15 // of engines whose memory is unknown
+)
+
+func (l *ledger) prefixTTL(now namer.Seconds) namer.Seconds {
+	if l.kvTokens <= 0 {
+		return unknownPrefixTTL
+	}
+	rate := l.newTokens.perSecond(now)
+	if rate <= 0 {
+		return maxPrefixTTL
+	}
+	return min(max(namer.Seconds(cacheTurnover*l.kvTokens/rate), minPrefixTTL), maxPrefixTTL)
+}
+
+// holdsPrefix reports whether the engine has probably cached a prefix.
+func (l *ledger) holdsPrefix(now namer.Seconds, prefix uint64) bool {
+	seen, known := l.recentPrefixes[prefix]
+	return known && now-seen < l.prefixTTL(now)
+}
+
+// recordPrefix records the tokens that a prompt adds to the engine's cache.
+func (l *ledger) recordPrefix(now namer.Seconds, w Work) {
+	added := w.Tokens
+	if w.Prefix != 0 && !l.holdsPrefix(now, w.Prefix) {
+		added += w.PrefixTokens
+	}
+	l.newTokens.add(now, added)
+	if w.Prefix == 0 {
 		return
 	}
 	if l.recentPrefixes == nil || len(l.recentPrefixes) >= maxRecentPrefixes {
 		l.recentPrefixes = map[uint64]namer.Seconds{}
 	}
-	l.recentPrefixes[prefix] = now
+	l.recentPrefixes[w.Prefix] = now
 }
 
 // uncachedTokens estimates the prompt tokens that the engine has to process for a request.
 func (l *ledger) uncachedTokens(now namer.Seconds, w Work) float64 {
-	if w.PrefixTokens == 0 || w.Fetched {
-		return w.Tokens
-	}
-	if seen, known := l.recentPrefixes[w.Prefix]; known && now-seen < prefixTTL {
+	if w.PrefixTokens == 0 || w.Fetched || l.holdsPrefix(now, w.Prefix) {
 		return w.Tokens
 	}
 	return w.Tokens + w.PrefixTokens
@@ -190,19 +256,19 @@
 	r.prefilled = true
 	b := bucket(r.work.Class)
 	l.queuedTokens[b] = max(0, l.queuedTokens[b]-r.tokens)
-	l.lastPrefillAt = now
-	if measure && r.work.Class < lateClass && r.tokens > 1 {
-		l.lateness.observe(now - r.prefillDueAt)
-	}
-	l.measuredTokens += r.tokens
-	busy := now - l.busySince
-	if measure && busy >= rateSample {
-		sample := l.measuredTokens / float64(busy)
-		if l.rate == 0 {
-			l.rate = sample
+	if measure && r.tokens > 1 {
+		if r == l.current && (r.placedAt < l.currentSince || l.rate.value() == 0) {
+			l.rate.observe(r.tokens, now-l.currentSince)
+		}
+		if len(l.newPrefixes) < maxNewPrefixes && r.fillsCache {
+			l.newPrefixes = append(l.newPrefixes, r.work.Prefix)
+		}
+		if r.work.Class < lateClass {
+			l.lateness.observe(r.prefillDueAt-r.placedAt, now-r.prefillDueAt)
 		}
-		l.rate += rateWeight * (sample - l.rate)
-		l.busySince, l.measuredTokens = now, 0
+	}
+	if r == l.current {
+		l.startNext(now)
 	}
 }
 
@@ -217,7 +283,7 @@
 		l.updateStreamLimits()
 	}
 	if len(l.reservations) == 0 {
-		l.queuedTokens = [buckets]float64{}
+		l.queuedTokens, l.current = [buckets]float64{}, nil
 	}
 }
 
@@ -249,37 +315,19 @@
 }
 
 // summary returns the load summary of the ledger.
-func (l *ledger) summary(now namer.Seconds, name namer.Endpoint, defaultRate float64) Load {
-	load := Load{Endpoint: name, Rate: l.rateOrDefault(defaultRate), Running: l.running, Streams: l.streams, Urgent: noStreamClass}
+func (l *ledger) summary(now namer.Seconds, name namer.Endpoint) Load {
+	load := Load{
+		Endpoint: name, Rate: l.rateOrDefault(), Running: l.running, Streams: l.streams, Urgent: noStreamClass, PrefixTTL: l.prefixTTL(now),
+	}
 	if l.streams > 0 {
 		load.Urgent = l.topStreamClass
 	}
 	for b := range load.QueueDelay {
-		load.QueueDelay[b] = l.queueDelay(now, b, defaultRate) + l.lateness.value
+		load.QueueDelay[b] = l.queueDelay(now, b) + l.lateness.value
 	}
 	return load
 }
 
-// latenessEstimate tracks a high quantile of the time by which prompts are processed later than estimated.
-// Reservations include it because the rate and the number of cached tokens are estimates.
-type latenessEstimate struct{ value namer.Seconds }
-
-const (
-	latenessQuantile = 0.8
-	// latenessStep lets the estimate follow a typical overload within a third of a second.
-	latenessStep namer.Seconds = 0.004
-	maxLateness  namer.Seconds = 0.2
-)
-
-func (s *latenessEstimate) observe(late namer.Seconds) {
-	if late > s.value {
-		s.value += latenessQuantile * latenessStep
-	} else {
-		s.value -= (1 - latenessQuantile) * latenessStep
-	}
-	s.value = min(max(s.value, 0), maxLateness)
-}
-
 // leakyBucket accumulates the time that prompts take on an engine. It drains at maxPrefillShare.
 type leakyBucket struct {
 	level     namer.Seconds
--- a/placer/load_test.go
+++ b/placer/load_test.go
@@ -121,3 +121,45 @@
 	t.Log(used)
 	is.Equal(len(used), 2)
 }
+
+// Guards against urgent prompts that wait behind a long, less urgent one that an engine has begun, while others
+// are free. On a deployment with slow engines they waited for 700 ms of 300.
+func TestUrgentPromptAvoidsLongPromptInProgress(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0, 3)
+	long := workload{prompt: 60_000, shared: 100, output: 40, sessions: 1, target: 10 * time.Second, priority: 2}
+	busy := f.arrive(f.hosts[0], long).endpoint
+	urgent := workload{prompt: 1500, shared: 300, output: 40, sessions: 1000, target: 300 * time.Millisecond}
+	for i := range 8 {
+		f.run(time.Duration(i+1) * 5 * time.Millisecond)
+		is.True(f.arrive(f.hosts[0], urgent).endpoint != busy)
+	}
+}
+
+// Guards against estimates that fit one speed of engines: with the same settings, engines that are slower or
+// faster by a factor must meet targets that differ by that factor.
+func TestEnginesOfAnySpeedMeetTargets(t *testing.T) {
+	for name, factor := range map[string]float64{"ten times faster": 0.1, "usual": 1, "eight times slower": 8} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleetOf(t, slower(prefillClass, factor), 6, 3, 5)
+			length := time.Duration(factor * float64(8*time.Second))
+			for _, k := range []struct {
+				workload
+				perSecond float64
+			}{
+				{workload{prompt: 9000, shared: 6000, output: 40, sessions: 40, target: 300 * time.Millisecond, priority: 2}, 150},
+				{workload{prompt: 1500, shared: 300, output: 40, sessions: 100, target: 150 * time.Millisecond}, 100},
+			} {
+				k.target = max(time.Duration(factor*float64(k.target)), 60*time.Millisecond)
+				f.generateLoad(k.workload, k.perSecond/factor, length)
+				defer func() {
+					onTime := onTimeRatio(f.arrivedWithin(k.workload, length/4, length))
+					t.Logf("prompts of %d tokens on time: %.3f", k.prompt, onTime)
+					is.True(onTime >= 0.95)
+				}()
+			}
+			f.run(2 * length)
+		})
+	}
+}
--- a/placer/message.go
+++ b/placer/message.go
@@ -96,4 +96,8 @@
 	Running    int
 	Streams    int
 	Urgent     int // most urgent class of the streams
+	// NewPrefixes are prefixes that the engine has begun to cache since the last broadcast, and PrefixTTL is
+	// how long it keeps them without another use.
+	NewPrefixes []uint64
+	PrefixTTL   namer.Seconds
 }
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -26,6 +26,7 @@
 	case decider.EventPrefilled:
 		if q.stage == prefilling {
 			c.recordEndpointSuccess(q.endpoint)
+			q.endpoint.recordPrefix(at, q.prefix(), true)
 			c.releaseEndpoint(at, q)
 			q.prefillAttempted, q.prefilled = true, true
 			c.dispatchDecode(at, q)
@@ -56,6 +57,7 @@
 func (c *Core) recordStarted(now namer.Seconds, q *request) {
 	if q.stage == running && !q.started {
 		q.started = true
+		q.endpoint.recordPrefix(now, q.prefix(), true)
 		c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Prefilled})
 	}
 }
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -122,7 +122,7 @@
 	if e == nil || e.leaving() {
 		return false
 	}
-	return c.ledger(e).reserve(now, reservationKey{from, r.ReservationID}, r, e.view.Concurrency, e.pool(c).prefillRate(e.view.Role))
+	return c.ledger(e).reserve(now, reservationKey{from, r.ReservationID}, r, e.view.Concurrency)
 }
 
 func (c *Core) handleProgress(now namer.Seconds, from namer.Host, u *ProgressUpdate) {
@@ -153,11 +153,12 @@
 		l = &ledger{}
 		c.ledgers[e.view.Name] = l
 	}
+	l.defaultRate, l.kvTokens = e.pool(c).prefillRate(e.view.Role), float64(e.view.KVTokens)
 	return l
 }
 
 func (c *Core) loadSummary(now namer.Seconds, e *endpoint) Load {
-	return c.ledger(e).summary(now, e.view.Name, e.pool(c).prefillRate(e.view.Role))
+	return c.ledger(e).summary(now, e.view.Name)
 }
 
 // updateLoad applies a load summary.
@@ -167,6 +168,9 @@
 		return
 	}
 	e.load, e.loadUpdatedAt = load, now
+	for _, prefix := range load.NewPrefixes {
+		e.recordPrefix(now, prefix, true)
+	}
 	p := e.pool(c)
 	p.prefillRates[e.view.Role] += rateWeight * (load.Rate - p.prefillRates[e.view.Role])
 	if p.prefillRates[e.view.Role] < load.Rate*rateWeight*1.01 {
@@ -195,6 +199,7 @@
 		}
 		l.expire(now)
 		load := c.loadSummary(now, e)
+		load.NewPrefixes, l.newPrefixes = l.newPrefixes, nil
 		c.updateLoad(now, load)
 		if l.idleReported && len(l.reservations) == 0 {
 			continue // unchanged since the last summary
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -47,26 +47,25 @@
 	// dispatchOverhead is the time from dispatch to the first event, without prefill: the network delay and
 	// the step in progress at the engine.
 	dispatchOverhead namer.Seconds = 0.012
-	// kvTransferTime is the time to transfer the KV cache of a prompt, and the request, to the decode engine.
-	kvTransferTime namer.Seconds = 0.008
-	// prefixFetchCost is the cost of not using the affinity engine: the prefix is fetched from it, or processed
-	// again if it is not cached there yet.
-	prefixFetchCost namer.Seconds = 0.005
+	// transferOverhead is the time to start a transfer between engines, and to send the request to the second.
+	transferOverhead namer.Seconds = 0.005
+	// transferFactor covers transfers between data centres, which take twice as long, and waiting for others.
+	transferFactor = 2
 	// affinityMissFactor is the factor of the queue delay that is added for engines other than the affinity
 	// engine.
 	affinityMissFactor = 1.5
-	// overflowRankCost is added per affinity rank to keep the overflow of a prefix on few engines. Spread over a
-	// large fleet, the prefix was processed again in one case of five.
-	overflowRankCost namer.Seconds = 0.15
+	// overflowRankCost is added per affinity rank, as a fraction of the target, to keep the overflow of a prefix
+	// on few engines. Spread over a large fleet, the prefix was processed again in one case of five.
+	overflowRankCost = 0.4
 	// resumeBudget is the time within which a broken stream must resume; callers give up after 2 s.
 	resumeBudget namer.Seconds = 0.7
-	// streamEngineCost keeps prompts away from engines with long streams.
-	streamEngineCost namer.Seconds = 0.02
+	// streamEngineCost keeps prompts away from engines with long streams. It is a fraction of the target.
+	streamEngineCost = 0.06
 	// eventPauseCost keeps requests with several events off decode engines. These process prompts between
-	// tokens, so the second event comes after a long pause.
-	eventPauseCost namer.Seconds = 0.06
-	// streamDelayCost is added for engines with streams of equal or higher urgency.
-	streamDelayCost namer.Seconds = 0.1
+	// tokens, so the second event comes after a long pause. It is a fraction of the target.
+	eventPauseCost = 0.2
+	// streamDelayCost is added for engines with streams of equal or higher urgency, as a fraction of the target.
+	streamDelayCost = 0.3
 )
 
 // pick returns the engine with the earliest estimated first event. It is a decode engine, or a prefill engine
@@ -78,33 +77,35 @@
 		}
 	}
 	affinity := q.pool.prefixAffinity(q)
+	target := namer.SecondsOf(q.Target)
 	ownTokens := max(1, float64(q.PromptTokens)-q.prefixTokens()+q.deliveredTokens)
 	var onTime, late lowestScore
 	for _, e := range q.pool.endpoints {
 		if !e.usable(now, q.Idempotent) || q.hasTried(e) || contains(q.declined, e) {
 			continue
 		}
-		first := e.prefillTime(q.pool, ownTokens)
+		rank := affinity.rank(e)
+		first := q.prefixDelay(now, e, &affinity) + e.prefillTime(q.pool, ownTokens)
 		if e.view.Role == namer.RolePrefill {
 			if q.deliveredTokens > 0 || q.skipPrefill {
 				continue // a stream resumes on a decode engine
 			}
-			first += kvTransferTime
+			first += q.pool.transferTime(float64(q.PromptTokens))
 		} else {
 			if e.streams(now) > 0 {
-				first += streamEngineCost
+				first += streamEngineCost * target
 			}
 			if q.hasSeveralEvents() {
-				first += eventPauseCost
+				first += eventPauseCost * target
 			}
 		}
-		if rank := affinity.rank(e); rank > 0 {
-			first += prefixFetchCost + affinityMissFactor*e.queueDelay(now, bucket(q.class())) + overflowRankCost*namer.Seconds(rank-1)
+		if rank > 0 {
+			first += transferOverhead + affinityMissFactor*e.queueDelay(now, bucket(q.class())) + overflowRankCost*target*namer.Seconds(rank-1)
 		}
 		if !e.delaysStreams(now, q.class()) {
 			late.consider(e, e.queueDelay(now, buckets-1)+first)
 		} else {
-			first += streamDelayCost
+			first += streamDelayCost * target
 		}
 		onTime.consider(e, e.queueDelay(now, bucket(q.class()))+first)
 	}
@@ -116,23 +117,43 @@
 		budget = resumeBudget
 	}
 	if !q.late && onTime.score <= budget {
-		return newChoice(onTime, &affinity, budget)
+		return q.newChoice(now, onTime, &affinity, budget)
 	}
-	if late.endpoint == nil || late.score+dispatchOverhead > q.deadline-now {
+	if late.endpoint == nil || late.score+dispatchOverhead > q.firstEventBy-now {
 		return choice{overloaded: true}
 	}
-	found := newChoice(late, &affinity, 0)
+	found := q.newChoice(now, late, &affinity, q.firstEventBy-now-dispatchOverhead)
 	found.late = true
 	return found
 }
 
-func newChoice(best lowestScore, affinity *prefixAffinity, budget namer.Seconds) choice {
+// prefixDelay estimates how long an engine takes to get the prefix of a prompt.
+func (q *request) prefixDelay(now namer.Seconds, e *endpoint, affinity *prefixAffinity) namer.Seconds {
+	prefix := q.prefix()
+	if prefix == 0 || e.holds(now, prefix) {
+		return 0
+	}
+	if _, offered := affinity.fetchSource(now, e, prefix); offered {
+		return q.pool.transferTime(q.prefixTokens())
+	}
+	delay := e.prefillTime(q.pool, q.prefixTokens())
+	if affinity.rank(e) == affinityRanks && affinity.held(now, prefix) {
+		delay *= 2 // processing a prefix on one more engine takes capacity from other requests
+	}
+	return delay
+}
+
+// transferTime estimates how long it takes to transfer the KV cache of a number of tokens between engines.
+func (p *pool) transferTime(tokens float64) namer.Seconds {
+	return transferOverhead + transferFactor*namer.Seconds(tokens)*p.kvTransfer
+}
+
+func (q *request) newChoice(now namer.Seconds, best lowestScore, affinity *prefixAffinity, budget namer.Seconds) choice {
 	found := choice{endpoint: best.endpoint, prefill: best.endpoint.view.Role == namer.RolePrefill, expectedDelay: best.score, prefillBudget: budget}
 	if found.prefill {
-		found.prefillBudget -= kvTransferTime
+		found.prefillBudget -= q.pool.transferTime(float64(q.PromptTokens))
 	}
-	found.fetchFrom = affinity.fetchSource(best.endpoint)
-	found.prefixFetched = !affinity.isPreferred(best.endpoint)
+	found.fetchFrom, found.prefixFetched = affinity.fetchSource(now, best.endpoint, q.prefix())
 	return found
 }
 
@@ -141,6 +162,14 @@
 	return float64(q.MaxTokens) > q.pool.tokensPerEvent
 }
 
+// prefix returns the ID of the part that ends the prefix that the prompt shares with others; 0 for none.
+func (q *request) prefix() uint64 {
+	if len(q.Parts) < 2 {
+		return 0
+	}
+	return q.Parts[len(q.Parts)-2].ID
+}
+
 // prefixTokens returns the number of prompt tokens that are shared with other prompts.
 func (q *request) prefixTokens() float64 {
 	tokens := 0.0
--- a/placer/place.go
+++ b/placer/place.go
@@ -82,8 +82,7 @@
 		Tokens: float64(q.PromptTokens), Fetched: found.prefixFetched, Class: q.class(), Stream: q.decodeHeavy() && !found.prefill,
 		Gap: namer.SecondsOf(q.TargetGap), Until: q.deadline - now,
 	}
-	if n := len(q.Parts); n > 1 {
-		work.Prefix = q.Parts[n-2].ID
+	if work.Prefix = q.prefix(); work.Prefix != 0 {
 		work.PrefixTokens = q.prefixTokens()
 		work.Tokens = max(1, work.Tokens-work.PrefixTokens)
 	}
@@ -136,6 +135,7 @@
 	}
 	e.running++
 	e.health.recordSent()
+	e.recordPrefix(now, q.prefix(), false)
 	action := decider.Action{
 		Kind: decider.ActionDispatch, Request: q.ID, Attempt: q.attempt, Endpoint: e.view.Name, Priority: q.class(), Retry: q.reason,
 		Basis: q.basis(now, found),
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -25,6 +25,8 @@
 	DecodeHandle(at netip.AddrPort, status int, body []byte) (Handle, error)
 	// ReleaseCall returns the method and path of the call that releases a handle.
 	ReleaseCall(handle Handle) (method, path string)
+	// Patience returns how long a caller waits for an event of a stream with the given targets.
+	Patience(target, targetGap time.Duration) time.Duration
 	// ReportCall returns the method and path of the call for an engine's load report.
 	ReportCall() (method, path string)
 	// DecodeReport parses a load report.
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -109,10 +109,14 @@
 func (x *exchange) serve() {
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	patience := time.Duration(0)
+	if x.route.Kind == matcher.Stream {
+		patience = x.relayer.Dialect.Patience(x.route.Target, x.route.TargetGap)
+	}
 	ticket, err := x.relayer.Dispatcher.Submit(ctx, decider.Request{
 		ID: namer.NewStreamID(), Service: x.service, Model: x.call.Model, Idempotent: x.route.Repeatable(),
 		PromptTokens: x.call.Prompt, MaxTokens: x.expectedOutput(), Deadline: x.deadline, Target: x.route.Target, TargetGap: x.route.TargetGap,
-		Priority: x.route.Priority, Parts: x.call.Parts, Attempts: x.route.Attempts,
+		Priority: x.route.Priority, Parts: x.call.Parts, Attempts: x.route.Attempts, Patience: patience,
 	})
 	if err != nil {
 		x.refuse(classifier.Draining, defaultRetryAfter)
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -62,6 +62,8 @@
 	return http.MethodDelete, "/handles/" + handle.ID
 }
 
+func (dialect) Patience(time.Duration, time.Duration) time.Duration { return 0 }
+
 func (dialect) ReportCall() (string, string) { return http.MethodGet, "/report" }
 
 func (dialect) DecodeReport(status int, body []byte) (detector.Report, error) {
