placer: Shorter prompts first within a rank; keep some engines free of long prompts

Change: three classes in each rank by processing time against the target, so that engines begin the short prompts first; queue delays by class in summaries, as integers; a third of the engines take no prompt of 1.5 times a more urgent class's target; the decode engine is chosen by the rest of its prompt in progress; lateness is the 0.6 quantile.

--- a/placer/affinity.go
+++ b/placer/affinity.go
@@ -60,9 +60,6 @@
 	return affinityRanks
 }
 
-// isPreferred reports whether an engine is the affinity engine of its role.
-func (a *prefixAffinity) isPreferred(e *endpoint) bool { return a.rank(e) == 0 }
-
 // fetchSource returns the engine from which an engine fetches a prefix that it has not cached: an affinity
 // engine that holds the prefix, or else the one that most probably does. It reports whether the source
 // holds it.
--- a/placer/core.go
+++ b/placer/core.go
@@ -49,6 +49,7 @@
 	endpoints      []*endpoint   // in name order
 	prefillRates   map[namer.Role]float64
 	retryBudget    retryBudget
+	targets        targets
 }
 
 // request is a request that has not been refused, finished or cancelled.
@@ -120,7 +121,7 @@
 	c.endpoints = make(map[namer.Endpoint]*endpoint, len(fleet.Endpoints))
 	for _, s := range fleet.Services {
 		if c.pools[s.Name] == nil {
-			c.pools[s.Name] = &pool{service: s.Name, prefillRates: map[namer.Role]float64{}}
+			c.pools[s.Name] = &pool{service: s.Name, prefillRates: map[namer.Role]float64{}, targets: targets{}}
 		}
 		p := c.pools[s.Name]
 		p.plain, p.backups, p.tokensPerEvent = s.Plain, s.Backups, float64(s.EventTokens)
@@ -147,6 +148,7 @@
 	}
 	for _, p := range c.pools {
 		p.orderDecodeEngines()
+		p.chooseExpress()
 	}
 }
 
@@ -167,6 +169,7 @@
 		return c.actions
 	}
 	q.pool.retryBudget.recordRequest(at, c.Retries)
+	q.pool.recordTarget(at, q)
 	c.place(at, q)
 	return c.actions
 }
@@ -212,14 +215,3 @@
 	delete(c.pendingReservations, q.reservation)
 	delete(c.requests, q.ID)
 }
-
-// lateClass is the class, and the priority at the engine, of requests that can't meet their latency
-// target. They only use capacity that the others leave.
-const lateClass = 9
-
-func (q *request) class() int {
-	if q.late {
-		return lateClass
-	}
-	return min(q.Priority, lateClass-1)
-}
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -10,8 +10,9 @@
 // endpoint is this daemon's view of one endpoint.
 type endpoint struct {
 	view        decider.EndpointView
-	streamOrder int // order in which decode engines receive long streams; the same at every daemon
-	running     int // requests of this daemon
+	streamOrder int  // order in which decode engines receive long streams; the same at every daemon
+	express     bool // receives no prompts that would delay more urgent ones for long
+	running     int  // requests of this daemon
 	health      health
 	// announcedLeaving is set when the endpoint has said in a response that it is leaving. It holds until the
 	// endpoint is gone or has restarted.
@@ -70,10 +71,15 @@
 // maxLoadAge is the staleness bound of load summaries.
 const maxLoadAge namer.Seconds = 2
 
-// queueDelay estimates the time until the prompts of a bucket and of all more urgent buckets have been
+// queueDelay estimates the time until the prompts of a class and of all more urgent classes have been
 // processed.
 func (e *endpoint) queueDelay(now namer.Seconds, upTo int) namer.Seconds {
-	return max(0, e.load.QueueDelay[upTo]-(now-e.loadUpdatedAt))
+	return max(0, e.load.QueueDelay[upTo].seconds()-(now-e.loadUpdatedAt))
+}
+
+// inProgress estimates the time until the prompt in progress at an engine has been processed.
+func (e *endpoint) inProgress(now namer.Seconds) namer.Seconds {
+	return max(0, e.load.InProgress-(now-e.loadUpdatedAt))
 }
 
 // streams estimates the number of long streams of all daemons at an engine.
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -9,7 +9,7 @@
 type ledger struct {
 	reservations   map[reservationKey]*reservation
 	sequence       uint64
-	queuedTokens   [buckets]float64 // prompt tokens not yet processed
+	queuedTokens   [classes]float64 // prompt tokens not yet processed
 	running        int
 	lateRunning    int // of the running ones, those with lateClass
 	streams        int
@@ -56,29 +56,35 @@
 	rateWeight = 0.25
 )
 
-func (l *ledger) totalQueuedTokens() float64 {
-	sum := 0.0
-	for _, tokens := range l.queuedTokens {
-		sum += tokens
-	}
-	return sum
-}
-
-// queueDelay returns the time until the prompts of a bucket and of all more urgent buckets have been
+// queueDelay returns the time until the prompts of a class and of all more urgent classes have been
 // processed. Engines finish a prompt that they have begun, also a less urgent one.
 func (l *ledger) queueDelay(now namer.Seconds, upTo int) namer.Seconds {
 	rate := l.rateOrDefault()
 	sum := 0.0
-	for b := 0; b <= upTo; b++ {
-		sum += l.queuedTokens[b]
+	for class := range upTo + 1 {
+		sum += l.queuedTokens[class]
 	}
 	if l.current != nil {
-		if bucket(l.current.work.Class) <= upTo {
+		if l.current.work.Class <= upTo {
 			sum -= l.current.tokens
 		}
-		sum = max(0, sum) + max(0, l.current.tokens-rate*float64(now-l.currentSince))
+		sum = max(0, sum)
+	}
+	return namer.Seconds(sum/rate) + l.inProgress(now)
+}
+
+// overdueShare is the expected rest of a prompt that has taken longer than estimated, relative to the time
+// it has taken.
+const overdueShare = 0.25
+
+// inProgress estimates the time until the current prompt has been processed.
+func (l *ledger) inProgress(now namer.Seconds) namer.Seconds {
+	if l.current == nil {
+		return 0
 	}
-	return namer.Seconds(sum / rate)
+	taken := now - l.currentSince
+	estimated := namer.Seconds(l.current.tokens / l.rateOrDefault())
+	return max(estimated-taken, overdueShare*(taken-estimated), 0)
 }
 
 // startNext assumes that the engine begins with the first of the most urgent prompts.
@@ -117,7 +123,7 @@
 func (l *ledger) reserve(now namer.Seconds, key reservationKey, r *ReserveRequest, slots int) bool {
 	l.expire(now)
 	if r.Work.Class >= lateClass {
-		if l.running >= lateOvercommit*slots || l.queueDelay(now, buckets-1)+l.prefillTime(now, r.Work) > r.Budget {
+		if l.running >= lateOvercommit*slots || l.queueDelay(now, lateClass)+l.prefillTime(now, r.Work) > r.Budget {
 			return false
 		}
 		l.add(now, key, r.Work)
@@ -127,7 +133,7 @@
 		return false
 	}
 	prefillTime := l.prefillTime(now, r.Work)
-	if l.queueDelay(now, bucket(r.Work.Class))+prefillTime+l.lateness.value > r.Budget {
+	if l.queueDelay(now, r.Work.Class)+prefillTime+l.lateness.value > r.Budget {
 		return false
 	}
 	if l.minGap > 0 && !r.Work.Stream && l.topStreamClass <= r.Work.Class && !l.prefillQuota.allows(now, prefillTime, l.minGap) {
@@ -153,9 +159,9 @@
 	tokens := l.uncachedTokens(now, w)
 	l.sequence++
 	r := &reservation{work: w, tokens: tokens, placedAt: now, sequence: l.sequence, expiresAt: now + w.Until, fillsCache: w.Prefix != 0 && !l.holdsPrefix(now, w.Prefix)}
-	r.prefillDueAt = now + l.queueDelay(now, bucket(w.Class)) + namer.Seconds(tokens/l.rateOrDefault())
+	r.prefillDueAt = now + l.queueDelay(now, w.Class) + namer.Seconds(tokens/l.rateOrDefault())
 	l.reservations[key] = r
-	l.queuedTokens[bucket(w.Class)] += tokens
+	l.queuedTokens[w.Class] += tokens
 	if l.current == nil && tokens > 0 {
 		l.current, l.currentSince = r, now
 	}
@@ -254,8 +260,8 @@
 		return
 	}
 	r.prefilled = true
-	b := bucket(r.work.Class)
-	l.queuedTokens[b] = max(0, l.queuedTokens[b]-r.tokens)
+	class := r.work.Class
+	l.queuedTokens[class] = max(0, l.queuedTokens[class]-r.tokens)
 	if measure && r.tokens > 1 {
 		if r == l.current && (r.placedAt < l.currentSince || l.rate.value() == 0) {
 			l.rate.observe(r.tokens, now-l.currentSince)
@@ -283,7 +289,7 @@
 		l.updateStreamLimits()
 	}
 	if len(l.reservations) == 0 {
-		l.queuedTokens, l.current = [buckets]float64{}, nil
+		l.queuedTokens, l.current = [classes]float64{}, nil
 	}
 }
 
@@ -317,13 +323,13 @@
 // summary returns the load summary of the ledger.
 func (l *ledger) summary(now namer.Seconds, name namer.Endpoint) Load {
 	load := Load{
-		Endpoint: name, Rate: l.rateOrDefault(), Running: l.running, Streams: l.streams, Urgent: noStreamClass, PrefixTTL: l.prefixTTL(now),
+		Endpoint: name, Rate: l.rateOrDefault(), InProgress: l.inProgress(now), Running: l.running, Streams: l.streams, Urgent: noStreamClass, PrefixTTL: l.prefixTTL(now),
 	}
 	if l.streams > 0 {
 		load.Urgent = l.topStreamClass
 	}
-	for b := range load.QueueDelay {
-		load.QueueDelay[b] = l.queueDelay(now, b) + l.lateness.value
+	for class := range load.QueueDelay {
+		load.QueueDelay[class] = shortDelayOf(l.queueDelay(now, class) + l.lateness.value)
 	}
 	return load
 }
--- a/placer/message.go
+++ b/placer/message.go
@@ -35,7 +35,7 @@
 	Prefix       uint64   // ID of the prefix; 0 for none
 	// Fetched says that the prefix is fetched from its affinity engine.
 	Fetched bool
-	Class   int // priority at the engine
+	Class   int // priority at the engine, less than classes
 	// Stream says that the request generates a long output on the engine; Gap is the target for the time
 	// between its events.
 	Stream bool
@@ -71,27 +71,13 @@
 	Work          Work // with Placed
 }
 
-// buckets is the number of priority buckets in summaries: the most urgent class, the other classes, and
-// late work.
-const buckets = 3
-
-func bucket(class int) int {
-	switch {
-	case class <= 0:
-		return 0
-	case class < lateClass:
-		return 1
-	}
-	return 2
-}
-
 // Load is a summary of an engine's ledger.
 type Load struct {
 	_        struct{} `cbor:",toarray"`
 	Endpoint namer.Endpoint
-	// QueueDelay is, for each bucket, the time until its prompts and those of more urgent buckets have been
+	// QueueDelay is, for each class, the time until its prompts and those of more urgent classes have been
 	// processed.
-	QueueDelay [buckets]namer.Seconds
+	QueueDelay [classes]shortDelay
 	Rate       float64 // prompt tokens per second
 	Running    int
 	Streams    int
@@ -100,4 +86,15 @@
 	// how long it keeps them without another use.
 	NewPrefixes []uint64
 	PrefixTTL   namer.Seconds
+	// InProgress is the time until the prompt in progress has been processed.
+	InProgress namer.Seconds
 }
+
+// shortDelay is a delay in units of 100 microseconds, which takes few bytes in a message.
+type shortDelay uint32
+
+const shortDelaysPerSecond = 10_000
+
+func shortDelayOf(s namer.Seconds) shortDelay { return shortDelay(max(0, s) * shortDelaysPerSecond) }
+
+func (d shortDelay) seconds() namer.Seconds { return namer.Seconds(d) / shortDelaysPerSecond }
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -77,7 +77,7 @@
 		}
 	}
 	affinity := q.pool.prefixAffinity(q)
-	target := namer.SecondsOf(q.Target)
+	target, longest := namer.SecondsOf(q.Target), q.pool.longestExpress(now, q)
 	ownTokens := max(1, float64(q.PromptTokens)-q.prefixTokens()+q.deliveredTokens)
 	var onTime, late lowestScore
 	for _, e := range q.pool.endpoints {
@@ -86,6 +86,9 @@
 		}
 		rank := affinity.rank(e)
 		first := q.prefixDelay(now, e, &affinity) + e.prefillTime(q.pool, ownTokens)
+		if e.express && first > longest {
+			continue
+		}
 		if e.view.Role == namer.RolePrefill {
 			if q.deliveredTokens > 0 || q.skipPrefill {
 				continue // a stream resumes on a decode engine
@@ -100,14 +103,14 @@
 			}
 		}
 		if rank > 0 {
-			first += transferOverhead + affinityMissFactor*e.queueDelay(now, bucket(q.class())) + overflowRankCost*target*namer.Seconds(rank-1)
+			first += transferOverhead + affinityMissFactor*e.queueDelay(now, q.class()) + overflowRankCost*target*namer.Seconds(rank-1)
 		}
 		if !e.delaysStreams(now, q.class()) {
-			late.consider(e, e.queueDelay(now, buckets-1)+first)
+			late.consider(e, e.queueDelay(now, lateClass)+first)
 		} else {
 			first += streamDelayCost * target
 		}
-		onTime.consider(e, e.queueDelay(now, bucket(q.class()))+first)
+		onTime.consider(e, e.queueDelay(now, q.class())+first)
 	}
 	if onTime.endpoint == nil {
 		return choice{overloaded: len(q.declined) > 0}
@@ -197,7 +200,7 @@
 	}
 	found := choice{endpoint: first, prefillBudget: q.deadline - now}
 	if first != nil {
-		found.expectedDelay = first.queueDelay(now, bucket(q.class())) + first.prefillTime(q.pool, float64(q.PromptTokens))
+		found.expectedDelay = first.queueDelay(now, q.class()) + first.prefillTime(q.pool, float64(q.PromptTokens))
 	}
 	return found
 }
@@ -212,7 +215,7 @@
 			continue
 		}
 		score := namer.Seconds(float64(e.activeRequests(now))/float64(max(1, e.view.Concurrency)) + 0.05*c.random.Float64())
-		score += e.queueDelay(now, buckets-2) / fullEngineDelay
+		score += e.inProgress(now) / (fullEngineDelay * max(namer.SecondsOf(q.Target), minTarget))
 		if e != preferred {
 			score += affinityMissLoad
 		}
@@ -222,8 +225,11 @@
 }
 
 const (
-	// fullEngineDelay is the queue delay of prompts that slows generation as much as a full engine does.
-	fullEngineDelay namer.Seconds = 0.1
+	// fullEngineDelay is the time until the prompt in progress has been processed that is as bad as a full
+	// engine, as a fraction of the target. The engine generates nothing new before.
+	fullEngineDelay = 0.3
+	// minTarget is assumed for requests with shorter targets or none.
+	minTarget namer.Seconds = 0.05
 	// affinityMissLoad is the load of the affinity engine at which an idle engine is as good. The affinity
 	// engine caches the prefix for later prompts.
 	affinityMissLoad = 0.5
--- a/placer/place.go
+++ b/placer/place.go
@@ -200,7 +200,7 @@
 func (q *request) basis(now namer.Seconds, found choice) decider.Basis {
 	basis := decider.Basis{Expected: found.expectedDelay.Duration(), Declined: len(q.declined), Late: q.late}
 	if e := found.endpoint; !q.pool.plain && e.load.Rate > 0 {
-		basis.QueueingTime, basis.LoadAge = e.queueDelay(now, bucket(q.class())).Duration(), (now - e.loadUpdatedAt).Duration()
+		basis.QueueingTime, basis.LoadAge = e.queueDelay(now, q.class()).Duration(), (now - e.loadUpdatedAt).Duration()
 		basis.Expected = max(basis.Expected, basis.QueueingTime)
 	}
 	return basis
--- a/placer/rate.go
+++ b/placer/rate.go
@@ -34,7 +34,7 @@
 }
 
 const (
-	latenessQuantile = 0.8
+	latenessQuantile = 0.6
 	// latenessStep is relative to the usual processing time.
 	latenessStep = 0.1
 	// maxLateness is relative to the usual processing time.
