Store eras, endpoints that announce their leaving, endpoints that turn a daemon away

A store that comes back from a copy gives out revisions again, so that our conditional writes could hold by coincidence, and replicas took an old state for the current one. Ruled out: comparing contents instead of versions (an equal lease may belong to another holder); counting fencing tokens in the record (the record is lost with the copy). Change: storer.Version holds the era above the revision; platform.Store, follower, announcer and leaser use it; a holder's token is the version of the write that acquired the lease, and a lease isn't acquired until a holder of the era before must have stopped. In the product mode, claims written in the lost seconds are lost with them; listed as open in design.md.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -114,39 +114,59 @@
 	return a.follower.Run(ctx)
 }
 
-// announce writes the daemon's own entry, retrying until it succeeds. An unchanged entry from an
-// earlier start is kept.
+// announce writes the daemon's own entry, and writes it again whenever it is missing: a store that was
+// restored from a backup may have lost it. An unchanged entry from an earlier start is kept.
 func (a *Announcer) announce(ctx context.Context) {
+	var written storer.Version // 0 until the entry has been written
 	for ctx.Err() == nil {
-		err := a.writeEntry(ctx)
-		if err == nil {
-			return
+		changed := a.follower.Changed()
+		if written == 0 || a.lost(written) {
+			version, err := a.writeEntry(ctx)
+			if err != nil {
+				a.Log.Warn().Err(err).Msg("announcement-failed")
+				select {
+				case <-ctx.Done():
+				case <-time.After(retryDelay):
+				}
+				continue
+			}
+			written = version
 		}
-		a.Log.Warn().Err(err).Msg("announcement-failed")
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryDelay):
+		case <-changed:
 		}
 	}
 }
 
+// lost reports whether a listing of a later era than the entry doesn't have it.
+func (a *Announcer) lost(written storer.Version) bool {
+	listing := a.follower.Listing()
+	if listing == nil || listing.Version.Era() <= written.Era() {
+		return false
+	}
+	_, present := listing.Objects[a.key()]
+	return !present
+}
+
 func (a *Announcer) key() string { return Prefix + string(a.Self.Host) }
 
-func (a *Announcer) writeEntry(ctx context.Context) error {
+// writeEntry writes the entry and returns its version.
+func (a *Announcer) writeEntry(ctx context.Context) (storer.Version, error) {
 	value, err := json.Marshal(a.Self)
 	if err != nil {
-		return errors.Wrap(err, "encode member")
+		return 0, errors.Wrap(err, "encode member")
 	}
-	_, err = a.Store.Put(ctx, a.key(), value, 0)
+	written, err := a.Store.Put(ctx, a.key(), value, 0)
 	if !errors.Is(err, storer.ErrConflict) {
-		return err
+		return written.Version, err
 	}
 	old, err := a.Store.Get(ctx, a.key())
 	if err != nil || string(old.Value) == string(value) {
-		return err
+		return old.Version, err
 	}
-	_, err = a.Store.Put(ctx, a.key(), value, old.Version)
-	return err
+	written, err = a.Store.Put(ctx, a.key(), value, old.Version)
+	return written.Version, err
 }
 
 // Deregister deletes the daemon's own entry.
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -96,3 +96,24 @@
 		is.Equal(hosts(a), []namer.Host{"a"})
 	})
 }
+
+// Guards against a daemon that stays unknown after the store was restored from a backup without its entry.
+func TestEntryIsWrittenAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &imitator.Store{}
+		empty := store.Backup()
+		a, stopA := start(t, store, "a", 1)
+		b, stopB := start(t, store, "b", 2)
+		defer stopA()
+		defer stopB()
+		time.Sleep(4 * time.Second)
+		store.Restore(empty)
+		time.Sleep(6 * time.Second)
+		is.Equal(hosts(a), []namer.Host{"a", "b"})
+		is.Equal(hosts(b), []namer.Host{"a", "b"})
+		calls := store.Calls()["put"]
+		time.Sleep(time.Minute)
+		is.Equal(store.Calls()["put"], calls)
+	})
+}
--- a/assembler/gateway_test.go
+++ b/assembler/gateway_test.go
@@ -466,3 +466,50 @@
 	unavailable.Store(false)
 	eventually(t, "the new route", func() bool { _, got := s.send(http.DefaultClient, g, "GET", "/later/1"); return got.status == 200 })
 }
+
+// Guards against new work for a server that has said in a response that it is leaving, and against more than
+// the first requests to one that has turned the gateway away for a while.
+func TestGatewayHonoursWhatServersSay(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.configureDefaultRoutes()
+	leaving, full := s.startServer("app-1", "app", ""), s.startServer("app-2", "app", "")
+	s.startServer("app-3", "app", "")
+	g := s.startGateway(s.newSettings("g-1"))
+	eventually(t, "readiness", g.ready)
+	leaving.AnnounceLeaving()
+	full.TurnAway(30)
+	for len(leaving.Executions()) == 0 || full.TurnedAway() == 0 {
+		s.send(http.DefaultClient, g, "GET", "/items/1")
+	}
+	executed := len(leaving.Executions())
+	for range 60 {
+		_, got := s.send(http.DefaultClient, g, "GET", "/items/1")
+		is.Equal(got.status, 200)
+	}
+	is.Equal(len(leaving.Executions()), executed)
+	is.Equal(full.TurnedAway(), 1)
+}
+
+// Guards against a gateway that stops serving, or returns to an older configuration, when the store is restored
+// from a backup that lacks the newest configuration and the servers' entries.
+func TestGatewayOutlivesRestoredStore(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.configure(route{"/items/", "safe", "app", time.Second})
+	backup := s.store.Backup()
+	s.startServer("app-1", "app", "")
+	g := s.startGateway(s.newSettings("g-1"))
+	eventually(t, "readiness", g.ready)
+	s.configure(route{"/items/", "safe", "app", time.Second}, route{"/new/", "safe", "app", time.Second})
+	eventually(t, "the new route", func() bool { _, got := s.send(http.DefaultClient, g, "GET", "/new/1"); return got.status == 200 })
+	s.store.Restore(backup)
+	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		_, got := s.send(http.DefaultClient, g, "GET", "/new/1")
+		is.Equal(got.status, 200)
+	}
+	s.startServer("app-2", "app", "")
+	s.configure(route{"/items/", "safe", "app", time.Second}, route{"/third/", "safe", "app", time.Second})
+	eventually(t, "the third route", func() bool { _, got := s.send(http.DefaultClient, g, "GET", "/third/1"); return got.status == 200 })
+	eventually(t, "the dropped route", func() bool { _, got := s.send(http.DefaultClient, g, "GET", "/new/1"); return got.status == 404 })
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -240,6 +240,10 @@
 		}
 		if first {
 			version = page.Version
+		} else if page.Version.Era() != version.Era() {
+			err := errors.Wrap(storer.ErrUnavailable, "store was restored from a backup during a list")
+			f.recordFailure(ctx, callStart, "list", err)
+			return err
 		}
 		for _, object := range page.Objects {
 			objects[object.Key] = object
@@ -249,6 +253,9 @@
 			break
 		}
 	}
+	if known, _ := f.currentVersion(); version.Era() < known.Era() {
+		callStart = time.Time{} // the list does not confirm the replica
+	}
 	f.update(time.Now(), callStart, func(s *state) bool { return s.applyList(objects, version) })
 	return nil
 }
@@ -306,10 +313,16 @@
 		f.failing, f.outageEnd = false, responded
 		f.Log.Info().Str("prefix", f.Prefix).Uint64("version", uint64(f.state.version)).Msg("object-api-answers")
 	}
+	before := f.state.version.Era()
+	changed := apply(&f.state)
+	if era := f.state.version.Era(); era > before && f.listing.Load() != nil {
+		// A restore has the effect of an outage: entries may be missing until their owners write them again.
+		f.outageEnd = responded
+		f.Log.Warn().Str("prefix", f.Prefix).Uint64("era", uint64(era)).Msg("object-api-restored")
+	}
 	if confirmed.After(f.confirmed) {
 		f.confirmed = confirmed
 	}
-	changed := apply(&f.state)
 	if listing := f.listing.Load(); changed || listing == nil || listing.OutageEnd != f.outageEnd {
 		f.listing.Store(f.state.listing(f.outageEnd))
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -252,3 +252,37 @@
 		is.True(f.Listing().Version >= version)
 	})
 }
+
+// Guards against a replica that keeps what a restored store has lost, that takes the absence of entries for
+// their removal, or that returns to the era before.
+func TestRestoredStoreIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFaultyStore()
+		reader := &follower.Follower{Source: store, Prefix: prefix}
+		run(t, reader)
+		store.put(t, "a")
+		backup := store.Backup()
+		store.put(t, "b")
+		time.Sleep(3 * time.Second)
+		is.Equal(objectCount(reader.Listing()), 2)
+		is.True(reader.Listing().OutageEnd.IsZero())
+		old := reader.Serve(t.Context(), &follower.SyncRequest{Prefix: prefix})
+		store.Restore(backup)
+		time.Sleep(time.Second)
+		is.Equal(objectCount(reader.Listing()), 1)
+		is.True(!reader.Listing().OutageEnd.IsZero()) // entries may be missing until they are written again
+		store.put(t, "b")
+		synctest.Wait()
+		is.Equal(objectCount(reader.Listing()), 2)
+
+		// Another daemon, whose reader is still in the era before, follows the later one.
+		readers := &fakeReaders{}
+		readers.set(reader, false, false)
+		other := &follower.Follower{Source: store, Prefix: prefix, Readers: readers}
+		run(t, other)
+		time.Sleep(time.Second)
+		is.Equal(other.Listing().Version, reader.Listing().Version)
+		is.True(old.Version < other.Listing().Version)
+	})
+}
--- a/follower/state.go
+++ b/follower/state.go
@@ -29,6 +29,9 @@
 
 // applyList merges a complete list read at a version of the store, and reports whether anything changed.
 func (s *state) applyList(objects map[string]storer.Object, version storer.Version) bool {
+	if version.Era() < s.version.Era() {
+		return false // a response that is older than a restore of the store
+	}
 	changed := s.objects == nil
 	if s.objects == nil {
 		s.objects, s.tombstonesSince = map[string]storer.Object{}, version
--- a/imitator/node.go
+++ b/imitator/node.go
@@ -36,7 +36,18 @@
 	killed        bool
 }
 
-var _ storer.Store = (*Node)(nil)
+var (
+	_ storer.Store     = (*Node)(nil)
+	_ storer.EraSource = (*Node)(nil)
+)
+
+// Era returns the era of the store; 0 if it has none.
+func (n *Node) Era() storer.Era {
+	if source, ok := n.Store.(storer.EraSource); ok {
+		return source.Era()
+	}
+	return 0
+}
 
 // SetFailureMode sets the failure mode of calls to the store. The delay is used by Partition, Slow and DelayedWrite.
 func (n *Node) SetFailureMode(mode FailureMode, delay time.Duration) {
--- a/imitator/store.go
+++ b/imitator/store.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -28,6 +29,7 @@
 	objects     map[string]storer.Object
 	deleted     map[string]storer.Version
 	compactedAt storer.Version // history up to this version has been compacted
+	era         storer.Era
 	last        storer.Version
 	changed     chan struct{} // closed and replaced at each write
 	calls       map[string]int
@@ -221,6 +223,43 @@
 	return storer.Changes{Objects: found, Version: max(since, s.last)}, s.changed, since >= s.compactedAt
 }
 
+// Backup is a copy of the store's content.
+type Backup struct {
+	objects map[string]storer.Object
+	last    storer.Version
+}
+
+// Backup returns a copy of the store's content.
+func (s *Store) Backup() Backup {
+	s.lock()
+	defer s.mu.Unlock()
+	return Backup{objects: maps.Clone(s.objects), last: s.last}
+}
+
+// Restore replaces the content by a backup and begins a new era, in which revisions after the backup are given
+// out again. The history of the era before is gone.
+func (s *Store) Restore(b Backup) {
+	s.lock()
+	defer s.mu.Unlock()
+	s.era = max(s.era, 1) + 1
+	s.objects = map[string]storer.Object{}
+	for key, object := range b.objects {
+		object.Version = storer.NewVersion(s.era, object.Version.Revision())
+		s.objects[key] = object
+	}
+	clear(s.deleted)
+	s.last = storer.NewVersion(s.era, b.last.Revision())
+	s.compactedAt = s.last
+	s.notifyWatches()
+}
+
+// Era returns the store's era.
+func (s *Store) Era() storer.Era {
+	s.lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Compact discards the history: a watch from an earlier version fails.
 func (s *Store) Compact() {
 	s.lock()
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -47,7 +47,10 @@
 
 // lease is the stored value.
 type lease struct {
-	Holder  namer.Process      `json:"holder,omitzero"` // zero after a release
+	Holder namer.Process `json:"holder,omitzero"` // zero after a release
+	// Fencing is the holder's fencing token. In a store with eras it is the version of the write that acquired
+	// the lease, which the first renewal records: versions increase although a restored store has forgotten
+	// the last holders.
 	Fencing namer.FencingToken `json:"fencing"`
 	// Renewal makes each write of a holder distinct, so that it recognises its own write after a lost response.
 	Renewal uint64 `json:"renewal"`
@@ -76,6 +79,10 @@
 	observed      bool
 	versionSeenAt Reading // when version was first observed
 	renewals      uint64
+	token         namer.FencingToken // of the lease that this process holds; 0 if it holds none
+	era           storer.Era
+	restored      bool          // the store has begun an era during the life of this process
+	notBefore     time.Duration // monotonic time before which the lease is then not acquired
 }
 
 func (l *Leaser) init() { l.once.Do(func() { l.done = make(chan struct{}) }) }
@@ -133,12 +140,28 @@
 
 // step renews or competes for the lease and returns the time until the next step.
 func (l *Leaser) step(ctx context.Context) time.Duration {
-	if l.observed && l.value.Holder == l.Process {
+	if l.observed && l.value.Holder == l.Process && l.acquirable() {
 		return l.renew(ctx)
 	}
 	return l.tryAcquire(ctx)
 }
 
+// acquirable reports whether no process can hold a lease of an earlier era any more.
+func (l *Leaser) acquirable() bool {
+	return !l.restored || l.clock().Now().Mono >= l.notBefore
+}
+
+// observeEra ends the grant of an earlier era. The restored store may have forgotten a holder whose authority
+// has not expired yet.
+func (l *Leaser) observeEra(era storer.Era, now Reading) {
+	if era <= l.era {
+		return
+	}
+	l.era, l.restored = era, true
+	l.notBefore = now.Mono + Duration + Margin
+	l.dropGrant()
+}
+
 // tryAcquire reads the lease and acquires it if it is available. The jitter keeps candidates from
 // writing at the same time.
 func (l *Leaser) tryAcquire(ctx context.Context) time.Duration {
@@ -149,6 +172,9 @@
 		l.Log.Debug().Err(err).Str("lease", string(l.Name)).Msg("lease-unreadable")
 		return l.jitter(PollInterval)
 	}
+	if !l.acquirable() {
+		return l.jitter(PollInterval)
+	}
 	if l.value.Holder == l.Process {
 		return 0
 	}
@@ -170,7 +196,11 @@
 }
 
 func (l *Leaser) renew(ctx context.Context) time.Duration {
-	if err := l.write(ctx, l.value); err != nil {
+	next := l.value
+	if l.token != 0 {
+		next.Fencing = l.token
+	}
+	if err := l.write(ctx, next); err != nil {
 		l.Log.Warn().Err(err).Str("lease", string(l.Name)).Msg("lease-not-renewed")
 		return l.jitter(retryInterval)
 	}
@@ -181,6 +211,9 @@
 func (l *Leaser) read(ctx context.Context) error {
 	now := l.clock().Now()
 	object, err := l.Store.Get(ctx, string(l.Name))
+	if source, ok := l.Store.(storer.EraSource); ok {
+		l.observeEra(source.Era(), now)
+	}
 	if errors.Is(err, storer.ErrNotFound) {
 		l.observe(0, lease{Fencing: l.value.Fencing}, now)
 		return nil
@@ -200,6 +233,7 @@
 	if !l.observed || version != l.version {
 		l.versionSeenAt = now
 	}
+	l.observeEra(version.Era(), now)
 	l.observed, l.version, l.value = true, version, value
 	if value.Holder != l.Process {
 		l.dropGrant()
@@ -207,6 +241,7 @@
 }
 
 func (l *Leaser) dropGrant() {
+	l.token = 0
 	if old := l.grant.Swap(nil); old != nil {
 		old.close()
 		l.Log.Info().Str("lease", string(l.Name)).Uint64("fencing", uint64(old.fencing)).Msg("lease-lost")
@@ -237,7 +272,16 @@
 	default:
 		return errors.Wrapf(err, "write lease %q", l.Name)
 	}
-	l.recordGrant(next.Fencing, start)
+	if !l.acquirable() {
+		return errors.Wrapf(storer.ErrConflict, "write lease %q: the store was restored from a backup", l.Name)
+	}
+	if l.token == 0 {
+		l.token = next.Fencing
+		if l.version.Era() > 0 {
+			l.token = namer.FencingToken(l.version)
+		}
+	}
+	l.recordGrant(l.token, start)
 	return nil
 }
 
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -201,3 +201,42 @@
 		is.True(!ok)
 	})
 }
+
+// Guards against two holders, and against fencing tokens that are given out again, when the store is restored
+// from a backup that has an earlier holder, or none, while the holder is alive, cut off or paused.
+func TestRestoredStoreKeepsOneHolder(t *testing.T) {
+	for name, hinder := range map[string]func(*candidate){
+		"holder is alive":   func(*candidate) {},
+		"holder is cut off": func(c *candidate) { c.node.SetFailureMode(imitator.Partition, time.Second) },
+		"holder is paused":  func(c *candidate) { c.node.Pause(40 * time.Second) },
+	} {
+		for _, held := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, held in the backup %t", name, held), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					store := &imitator.Store{}
+					empty := store.Backup()
+					store.Restore(empty) // so that the store has eras
+					candidates := []*candidate{startCandidate(t, store, 0, nil)}
+					is.True(awaitHolder(candidates, 30*time.Second) != nil)
+					first, _ := candidates[0].Endpoints("west")
+					backup := empty
+					if held {
+						backup = store.Backup()
+					}
+					for n := range 3 {
+						candidates = append(candidates, startCandidate(t, store, n+1, nil))
+					}
+					time.Sleep(5 * time.Second)
+					hinder(candidates[0])
+					store.Restore(backup)
+					is.True(maxHolders(candidates, time.Minute) <= 1)
+					next := awaitHolder(candidates, time.Minute)
+					is.True(next != nil)
+					second, _ := next.Endpoints("west")
+					is.True(second.Fencing() > first.Fencing())
+				})
+			})
+		}
+	}
+}
--- a/namer/unit.go
+++ b/namer/unit.go
@@ -12,7 +12,7 @@
 	Tokens int
 	// ConfigVersion numbers accepted configurations. A daemon never reverts to a lower version.
 	ConfigVersion uint64
-	// FencingToken increases by one each time a lease changes its holder.
+	// FencingToken increases each time a lease changes its holder.
 	FencingToken uint64
 	// Incarnation distinguishes restarts of a process; a later start has a greater value.
 	Incarnation uint64
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -22,7 +22,7 @@
 	currentSince namer.Seconds
 	rate         rateEstimate
 	defaultRate  float64 // until rate has been measured
-	kvTokens     float64 // capacity of the engine's memory; 0 when unknown
+	cacheTokens     float64 // capacity of the engine's memory; 0 when unknown
 	newTokens    inflow
 
 	prefillQuota   leakyBucket
@@ -195,14 +195,14 @@
 )
 
 func (l *ledger) prefixTTL(now namer.Seconds) namer.Seconds {
-	if l.kvTokens <= 0 {
+	if l.cacheTokens <= 0 {
 		return unknownPrefixTTL
 	}
 	rate := l.newTokens.perSecond(now)
 	if rate <= 0 {
 		return maxPrefixTTL
 	}
-	return min(max(namer.Seconds(cacheTurnover*l.kvTokens/rate), minPrefixTTL), maxPrefixTTL)
+	return min(max(namer.Seconds(cacheTurnover*l.cacheTokens/rate), minPrefixTTL), maxPrefixTTL)
 }
 
 // holdsPrefix reports whether the engine has probably cached a prefix.
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -153,7 +153,7 @@
 		l = &ledger{}
 		c.ledgers[e.view.Name] = l
 	}
-	l.defaultRate, l.kvTokens = e.pool(c).prefillRate(e.view.Role), float64(e.view.KVTokens)
+	l.defaultRate, l.cacheTokens = e.pool(c).prefillRate(e.view.Role), float64(e.view.KVTokens)
 	return l
 }
 
--- a/storer/store.go
+++ b/storer/store.go
@@ -20,9 +20,6 @@
 // WatchTimeout bounds one watch. It exceeds the store's own limit.
 const WatchTimeout = 45 * time.Second
 
-// Version orders all writes to the store. Version 0 means that an object does not exist.
-type Version uint64
-
 // Object is one stored value.
 type Object struct {
 	Key     string  `json:"key"`
@@ -70,7 +67,7 @@
 	// Watch blocks until an object whose key starts with prefix has a version greater than since, and
 	// returns all such objects sorted by version. It returns no objects if the time limit of the call
 	// expires. A blocked call counts as one call to the store. ErrHistoryGone means that the store has
-	// discarded changes after since; the caller must list the objects again.
+	// discarded changes after since, or was restored from a backup; the caller must list the objects again.
 	Watch(ctx context.Context, prefix string, since Version) (Changes, error)
 }
 
