Change the roles of engines with the mix: assigner, under a fleet-wide lease

Cause: prompts wait for engines while engines that generate are idle: on the small sites a third of the engines process prompts, though a few suffice for all outputs. Change: assigner plans, pure, from the ledgers' summaries: an idle fleet keeps 0.4 of the engines generating; under load what the peak of outputs leaves processes prompts, one engine in each data centre at least generates, a change must be wanted for five seconds, an engine changes once in 20 s, a quarter at a time. The holder of the lease authority/roles sends the orders, with its fencing token and the number of orders the engine has accepted, and nothing for command-gap (leaseMs) after it took over. The engine gets no new work meanwhile. Load summaries count up to 2.5 times their period: at 295 daemons they were taken for stale half of the time. An engine's changed role resets its ledger. Tests: assigner, by pattern (idle, steady, shift, swing, crash, a quarter at a time, one holder); platform TestRoleCommand, TestNumbersMayHaveFractions; settings page.

--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -11,12 +11,15 @@
 
 	"apricotspool/announcer"
 	"apricotspool/asserter"
+	"apricotspool/assigner"
 	"apricotspool/dispatcher"
 	"apricotspool/follower"
 	"apricotspool/forwarder"
+	"apricotspool/leaser"
 	"apricotspool/loader"
 	"apricotspool/matcher"
 	"apricotspool/messenger"
+	"apricotspool/namer"
 	"apricotspool/placer"
 	"apricotspool/recorder"
 	"apricotspool/registrar"
@@ -39,6 +42,8 @@
 	EntryPrefix string
 	DecodeEntry func(key string, value []byte) (registrar.Entry, error)
 	Dialect     relayer.Dialect
+	// NewCommander returns a sender of commands to engines.
+	NewCommander func(endpoints forwarder.Service, target func(namer.Endpoint) (forwarder.Target, bool)) assigner.Commander
 	// EchoHeader is the header that endpoints copy from a request to its response.
 	EchoHeader string
 	// ReadinessPath is the path of the load balancer's readiness check.
@@ -63,6 +68,9 @@
 	fleet      *gatewayFleet
 	announcer  *announcer.Announcer
 	datagrams  *messenger.Datagrams
+	endpoints  forwarder.Service
+	roleLease  *leaser.Leaser
+	assigner   *assigner.Assigner
 	draining   atomic.Bool
 }
 
@@ -111,10 +119,12 @@
 		settings: g.Settings, platform: g.Platform, config: g.config, registrar: g.registrar, announcer: g.announcer,
 		dispatcher: g.dispatcher, log: g.Log.Events,
 	}
+	g.endpoints = &forwarder.Client{EchoHeader: g.Platform.EchoHeader}
 	g.relayer = &relayer.Relayer{
 		Table: g.fleet.Table, Target: g.fleet.Target, Dialect: g.Platform.Dialect, Dispatcher: g.dispatcher,
-		Endpoints: &forwarder.Client{EchoHeader: g.Platform.EchoHeader}, Metrics: g.metrics, Log: g.Log.Requests,
+		Endpoints: g.endpoints, Metrics: g.metrics, Log: g.Log.Requests,
 	}
+	g.connectRoles(core)
 }
 
 // peerClient returns the client for calls to other daemons, without TLS.
--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -104,6 +104,8 @@
 		{Name: "fleet", Part: g.fleet},
 		{Name: "announcer", Part: g.announcer},
 		{Name: "datagrams", Part: g.datagrams},
+		{Name: "role-lease", Part: g.roleLease},
+		{Name: "assigner", Part: g.assigner},
 	}}
 }
 
--- a/leaser/authority.go
+++ b/leaser/authority.go
@@ -144,3 +144,8 @@
 type HousekeepingAuthority struct {
 	Authority
 }
+
+// RoleAuthority allows commands that change the roles of engines of the whole fleet.
+type RoleAuthority struct {
+	Authority
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -41,8 +41,11 @@
 // Housekeeping is the fleet-wide lease for housekeeping, such as the removal of old objects.
 const Housekeeping Name = "authority/housekeeping"
 
+// Roles is the fleet-wide lease for changes of the roles of engines.
+const Roles Name = "authority/roles"
+
 // ForDataCentre returns the name of the lease over the endpoints of a data centre. A data centre named
-// "housekeeping" can't have one, because its name collides with Housekeeping.
+// "housekeeping" or "roles" can't have one, because its name collides with another lease.
 func ForDataCentre(d namer.DataCentre) Name { return Name("authority/" + string(d)) }
 
 // lease is the stored value.
@@ -107,7 +110,7 @@
 
 // Endpoints returns the authority over a data centre's endpoints if this process holds their lease.
 func (l *Leaser) Endpoints(d namer.DataCentre) (EndpointAuthority, bool) {
-	if l.Name != ForDataCentre(d) || l.Name == Housekeeping {
+	if l.Name != ForDataCentre(d) || l.Name == Housekeeping || l.Name == Roles {
 		return EndpointAuthority{}, false
 	}
 	a, ok := l.authority()
@@ -123,6 +126,15 @@
 	return HousekeepingAuthority{Authority: a}, ok
 }
 
+// Roles returns the authority over the roles of engines if this process holds that lease.
+func (l *Leaser) Roles() (RoleAuthority, bool) {
+	if l.Name != Roles {
+		return RoleAuthority{}, false
+	}
+	a, ok := l.authority()
+	return RoleAuthority{Authority: a}, ok
+}
+
 // Run competes for the lease and renews it until ctx ends, then releases it.
 func (l *Leaser) Run(ctx context.Context) error {
 	l.init()
--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -41,6 +41,8 @@
 	StalenessBounds StalenessBounds `json:"news,omitzero"`
 	// Retries bounds the retries of all daemons together.
 	Retries RetryBudget `json:"retries,omitzero"`
+	// CommandGap is the shortest time between commands of two daemons to the same engine.
+	CommandGap namer.Duration `json:"command-gap,omitzero"`
 	// MemoryMB is the memory limit of the process in MB, at which it is killed; 0 means no limit.
 	MemoryMB float64 `json:"memory-mb,omitzero"`
 	// Descriptors is the maximum number of sockets that the process may open; 0 means no limit.
@@ -72,6 +74,7 @@
 	DefaultRetryRatio     = 0.1
 	DefaultRetrySlack     = 20
 	DefaultRetryWindow    = 10 * time.Second
+	DefaultCommandGap     = 3 * time.Second
 )
 
 // LoadGateway reads and checks a settings file. Faults in it are returned as decoder.Faults.
@@ -117,6 +120,7 @@
 	v.require(g.Retries.Ratio >= 0 && g.Retries.Ratio <= 1, "/retries/ratio", g.Retries.Ratio, "must be between 0 and 1")
 	v.require(g.Retries.Slack >= 0, "/retries/slack", g.Retries.Slack, "must not be negative")
 	v.timeout("/retries/window", g.Retries.Window)
+	v.timeout("/command-gap", g.CommandGap)
 	v.require(g.MemoryMB >= 0, "/memory-mb", g.MemoryMB, "must not be negative")
 	v.require(g.Descriptors >= 0, "/descriptors", g.Descriptors, "must not be negative")
 	_, err := zerolog.ParseLevel(g.LogLevel)
@@ -140,6 +144,9 @@
 	if g.StalenessBounds.Endpoints == 0 {
 		g.StalenessBounds.Endpoints = namer.Duration(DefaultStalenessBound)
 	}
+	if g.CommandGap == 0 {
+		g.CommandGap = namer.Duration(DefaultCommandGap)
+	}
 	if g.LogLevel == "" {
 		g.LogLevel = "info"
 	}
--- a/placer/core.go
+++ b/placer/core.go
@@ -137,7 +137,13 @@
 			e = &endpoint{}
 			delete(c.ledgers, view.Name)
 		}
+		if e.view.Role != view.Role {
+			// The engine is as fast as the others of its new role, and takes work again.
+			e.load, e.turnsAwayUntil = Load{PrefixTTL: e.load.PrefixTTL}, 0
+			delete(c.ledgers, view.Name)
+		}
 		e.view = view
+		e.maxLoadAge = max(minLoadAge, maxLoadPeriods*c.summaryPeriod())
 		c.endpoints[view.Name] = e
 		p.endpoints = append(p.endpoints, e)
 	}
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -22,6 +22,7 @@
 
 	load          Load // latest summary from the ledger owner; engines only
 	loadUpdatedAt namer.Seconds
+	maxLoadAge    namer.Seconds
 	cached        map[uint64]cachedPrefix
 }
 
@@ -68,8 +69,15 @@
 	return !e.leaving() && now >= e.turnsAwayUntil && e.health.admits(now, idempotent || e.view.Role == namer.RolePrefill)
 }
 
-// maxLoadAge is the staleness bound of load summaries.
-const maxLoadAge namer.Seconds = 2
+// Load summaries are used up to an age of maxLoadPeriods times the period at which they are sent, and at least
+// minLoadAge.
+const (
+	minLoadAge     namer.Seconds = 2
+	maxLoadPeriods               = 2.5
+)
+
+// current reports whether the last summary is not too old.
+func (e *endpoint) current(now namer.Seconds) bool { return now-e.loadUpdatedAt <= e.maxLoadAge }
 
 // queueDelay estimates the time until the prompts of a class and of all more urgent classes have been
 // processed.
@@ -84,7 +92,7 @@
 
 // streams estimates the number of long streams of all daemons at an engine.
 func (e *endpoint) streams(now namer.Seconds) int {
-	if now-e.loadUpdatedAt > maxLoadAge {
+	if !e.current(now) {
 		return 0
 	}
 	return e.load.Streams
@@ -97,7 +105,7 @@
 
 // activeRequests estimates the number of requests of all daemons at an engine.
 func (e *endpoint) activeRequests(now namer.Seconds) int {
-	if now-e.loadUpdatedAt > maxLoadAge {
+	if !e.current(now) {
 		return e.running
 	}
 	return max(e.running, e.load.Running)
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -22,8 +22,9 @@
 	currentSince namer.Seconds
 	rate         rateEstimate
 	defaultRate  float64 // until rate has been measured
-	cacheTokens     float64 // capacity of the engine's memory; 0 when unknown
-	newTokens    inflow
+	cacheTokens  float64 // capacity of the engine's memory; 0 when unknown
+	newTokens    inflow  // tokens that enter the cache
+	placedTokens inflow  // prompt tokens to process
 
 	prefillQuota   leakyBucket
 	lateness       latenessEstimate
@@ -162,6 +163,7 @@
 	r.prefillDueAt = now + l.queueDelay(now, w.Class) + namer.Seconds(tokens/l.rateOrDefault())
 	l.reservations[key] = r
 	l.queuedTokens[w.Class] += tokens
+	l.placedTokens.add(now, demandInflowTime, tokens)
 	if l.current == nil && tokens > 0 {
 		l.current, l.currentSince = r, now
 	}
@@ -198,7 +200,7 @@
 	if l.cacheTokens <= 0 {
 		return unknownPrefixTTL
 	}
-	rate := l.newTokens.perSecond(now)
+	rate := l.newTokens.perSecond(now, cacheInflowTime)
 	if rate <= 0 {
 		return maxPrefixTTL
 	}
@@ -217,7 +219,7 @@
 	if w.Prefix != 0 && !l.holdsPrefix(now, w.Prefix) {
 		added += w.PrefixTokens
 	}
-	l.newTokens.add(now, added)
+	l.newTokens.add(now, cacheInflowTime, added)
 	if w.Prefix == 0 {
 		return
 	}
@@ -324,10 +326,16 @@
 func (l *ledger) summary(now namer.Seconds, name namer.Endpoint) Load {
 	load := Load{
 		Endpoint: name, Rate: l.rateOrDefault(), InProgress: l.inProgress(now), Running: l.running, Streams: l.streams, Urgent: noStreamClass, PrefixTTL: l.prefixTTL(now),
+		Inflow: l.placedTokens.perSecond(now, demandInflowTime),
 	}
 	if l.streams > 0 {
 		load.Urgent = l.topStreamClass
 	}
+	for _, r := range l.reservations {
+		if r.prefilled || r.tokens == 0 {
+			load.Generating++
+		}
+	}
 	for class := range load.QueueDelay {
 		load.QueueDelay[class] = shortDelayOf(l.queueDelay(now, class) + l.lateness.value)
 	}
--- a/placer/message.go
+++ b/placer/message.go
@@ -12,6 +12,7 @@
 	ReserveResponse *ReserveResponse
 	ProgressUpdate  *ProgressUpdate
 	Loads           []Load // of engines whose ledgers the sender owns
+	Pause           *Pause
 }
 
 // ReservationID identifies a reservation among those of one host.
@@ -71,6 +72,13 @@
 	Work          Work // with Placed
 }
 
+// Pause tells all daemons that an endpoint gets no new work for a time.
+type Pause struct {
+	_        struct{} `cbor:",toarray"`
+	Endpoint namer.Endpoint
+	Length   namer.Seconds
+}
+
 // Load is a summary of an engine's ledger.
 type Load struct {
 	_        struct{} `cbor:",toarray"`
@@ -88,6 +96,10 @@
 	PrefixTTL   namer.Seconds
 	// InProgress is the time until the prompt in progress has been processed.
 	InProgress namer.Seconds
+	// Generating counts the requests whose prompt has been processed; Inflow is the rate at which prompt
+	// tokens are placed, per second.
+	Generating int
+	Inflow     float64
 }
 
 // shortDelay is a delay in units of 100 microseconds, which takes few bytes in a message.
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -109,6 +109,8 @@
 		c.handleReserveResponse(at, from, message.ReserveResponse)
 	case message.ProgressUpdate != nil:
 		c.handleProgress(at, from, message.ProgressUpdate)
+	case message.Pause != nil:
+		c.pause(at, message.Pause)
 	default:
 		for _, load := range message.Loads {
 			c.updateLoad(at, load)
@@ -117,6 +119,29 @@
 	return c.actions
 }
 
+// Pause gives an endpoint no new work for a time, and tells the other daemons.
+func (c *Core) Pause(now time.Time, endpoint namer.Endpoint, length time.Duration) []decider.Action {
+	c.ensureInit(now)
+	c.actions = c.actions[:0]
+	pause := &Pause{Endpoint: endpoint, Length: namer.SecondsOf(length)}
+	c.pause(c.seconds(now), pause)
+	for _, m := range c.members {
+		if m.Host != c.Self {
+			c.send(m.Host, Message{Pause: pause})
+		}
+	}
+	return c.actions
+}
+
+func (c *Core) pause(now namer.Seconds, p *Pause) {
+	if e := c.endpoints[p.Endpoint]; e != nil {
+		e.turnsAwayUntil = max(e.turnsAwayUntil, now+min(p.Length, maxPause))
+	}
+}
+
+// maxPause bounds the time for which another daemon can pause an endpoint.
+const maxPause namer.Seconds = 30
+
 func (c *Core) handleReserve(now namer.Seconds, from namer.Host, r *ReserveRequest) bool {
 	e := c.endpoints[r.Endpoint]
 	if e == nil || e.leaving() {
@@ -184,10 +209,13 @@
 	minSummaryPeriod namer.Seconds = 0.03
 )
 
+func (c *Core) summaryPeriod() namer.Seconds {
+	return max(minSummaryPeriod, namer.Seconds(float64(len(c.members))/maxSummaryRate))
+}
+
 // broadcastLoads sends the load summaries of the ledgers that this daemon owns to all other daemons.
 func (c *Core) broadcastLoads(now namer.Seconds) {
-	period := max(minSummaryPeriod, namer.Seconds(float64(len(c.members))/maxSummaryRate))
-	if now-c.lastSummaryAt < period || len(c.members) < 2 {
+	if now-c.lastSummaryAt < c.summaryPeriod() || len(c.members) < 2 {
 		return
 	}
 	c.lastSummaryAt = now
--- a/placer/rate.go
+++ b/placer/rate.go
@@ -1,6 +1,10 @@
 package placer
 
-import "apricotspool/namer"
+import (
+	"math"
+
+	"apricotspool/namer"
+)
 
 // rateEstimate measures the prompt tokens that an engine processes per second while prompts wait there. The
 // time that one prompt takes at an idle engine includes the network and is no measure of its rate.
@@ -56,23 +60,28 @@
 	s.value = min(max(s.value, 0), maxLateness*s.usual)
 }
 
-// inflow estimates how fast new tokens enter an engine's cache.
+// inflow estimates how many tokens per second are placed on an engine.
 type inflow struct {
 	tokens float64
 	at     namer.Seconds
 }
 
-// inflowTime is the time constant of the estimate.
-const inflowTime namer.Seconds = 10
+// Time constants of estimates: one for the turnover of a cache, one for the demand.
+const (
+	cacheInflowTime  namer.Seconds = 10
+	demandInflowTime namer.Seconds = 2
+)
 
-func (f *inflow) add(now namer.Seconds, tokens float64) {
-	f.tokens = f.tokens*f.decay(now) + tokens
+func (f *inflow) add(now, time namer.Seconds, tokens float64) {
+	f.tokens = f.tokens*f.decay(now, time) + tokens
 	f.at = now
 }
 
-func (f *inflow) decay(now namer.Seconds) float64 { return max(0, 1-float64((now-f.at)/inflowTime)) }
+func (f *inflow) decay(now, time namer.Seconds) float64 {
+	return math.Exp(-float64((now - f.at) / time))
+}
 
 // perSecond returns the estimate at a time.
-func (f *inflow) perSecond(now namer.Seconds) float64 {
-	return f.tokens * f.decay(now) / float64(inflowTime)
+func (f *inflow) perSecond(now, time namer.Seconds) float64 {
+	return f.tokens * f.decay(now, time) / float64(time)
 }
