--- a/assembler/corepeers.go
+++ b/assembler/corepeers.go
@@ -46,6 +46,10 @@
 			p.datagrams.Log.Warn().Err(err).Msg("datagram-not-valid")
 			return
 		}
+		if err := e.Message.Check(); err != nil {
+			p.datagrams.Log.Warn().Err(err).Str("daemon", string(e.From)).Msg("datagram-not-valid")
+			return
+		}
 		d.Act(func(now time.Time) []decider.Action { return core.Receive(now, e.From, e.Message) })
 	}
 }
--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -14,6 +14,7 @@
 const (
 	DefaultMaxHeader   = 64 << 10
 	DefaultMaxRequest  = 64 << 20
+	DefaultMaxResponse = 64 << 20
 	DefaultDialTimeout = time.Second
 	DefaultIdleTimeout = time.Minute
 )
@@ -27,6 +28,9 @@
 type Client struct {
 	MaxHeader  int   // bytes of a call's path, query and header, and of a response's header; 0 means DefaultMaxHeader
 	MaxRequest int64 // bytes of a call's body; 0 means DefaultMaxRequest
+	// MaxResponse is the limit on the bytes received for one call, its framing included; 0 means
+	// DefaultMaxResponse.
+	MaxResponse int64
 	// EchoHeader names a header that endpoints copy from a call to its response. A response with another
 	// value belongs to another call and is skipped. Empty disables the check.
 	EchoHeader  string
@@ -89,6 +93,13 @@
 	return DefaultMaxRequest
 }
 
+func (c *Client) maxResponse() int64 {
+	if c.MaxResponse != 0 {
+		return c.MaxResponse
+	}
+	return DefaultMaxResponse
+}
+
 func (c *Client) idleTimeout() time.Duration {
 	if c.IdleTimeout != 0 {
 		return c.IdleTimeout
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -28,6 +28,8 @@
 	idleTimeoutMargin = 500 * time.Millisecond
 	// maxMismatched bounds the responses to other calls that are skipped while waiting for one response.
 	maxMismatched = 4
+	// maxInformational bounds the informational responses before a response.
+	maxInformational = 16
 	// maxMismatchedBytes bounds the body of a skipped response.
 	maxMismatchedBytes = 1 << 20
 )
@@ -35,38 +37,46 @@
 // conn is a connection to an endpoint, owned by one call at a time.
 type conn struct {
 	net.Conn
-	client        *Client
-	address       netip.AddrPort
-	reader        *bufio.Reader
-	headerLimiter *headerLimiter
-	discarded     atomic.Bool
+	client    *Client
+	address   netip.AddrPort
+	reader    *bufio.Reader
+	limiter   *responseLimiter
+	discarded atomic.Bool
 
 	idleSince, expires time.Time // guarded by Client.mu while idle
 }
 
 func newConn(c *Client, address netip.AddrPort, raw net.Conn) *conn {
 	n := &conn{Conn: raw, client: c, address: address}
-	n.headerLimiter = &headerLimiter{reader: raw}
-	n.reader = bufio.NewReaderSize(n.headerLimiter, readBufferBytes)
+	n.limiter = &responseLimiter{reader: raw}
+	n.reader = bufio.NewReaderSize(n.limiter, readBufferBytes)
 	return n
 }
 
-// headerLimiter limits the number of bytes read while a response header is being parsed.
-type headerLimiter struct {
-	reader    io.Reader
-	remaining int
-	active    bool
+// responseLimiter limits the bytes that are read for a call, and those of a response header while it is parsed.
+type responseLimiter struct {
+	reader       io.Reader
+	header       int  // bytes left for the header
+	parsesHeader bool // a header is being parsed
+	response     int64
 }
 
-func (l *headerLimiter) Read(p []byte) (int, error) {
-	if !l.active {
-		return l.reader.Read(p)
+func (l *responseLimiter) Read(p []byte) (int, error) {
+	if l.response <= 0 {
+		return 0, ErrResponseTooLarge
 	}
-	if l.remaining <= 0 {
-		return 0, errors.New("response header exceeds the size limit")
+	if l.parsesHeader && l.header <= 0 {
+		return 0, errors.Wrap(ErrResponseTooLarge, "header")
+	}
+	limit := min(int64(len(p)), l.response)
+	if l.parsesHeader {
+		limit = min(limit, int64(l.header))
+	}
+	n, err := l.reader.Read(p[:limit])
+	l.response -= int64(n)
+	if l.parsesHeader {
+		l.header -= n
 	}
-	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
 	return n, err
 }
 
@@ -119,14 +129,18 @@
 // readResponse returns the next response that belongs to the call. It skips informational ones.
 func (n *conn) readResponse(c *Client, call Call) (*http.Response, error) {
 	request := &http.Request{Method: call.Method}
-	for skipped := 0; ; {
-		n.headerLimiter.remaining, n.headerLimiter.active = c.maxHeader(), true
+	n.limiter.response = c.maxResponse()
+	for skipped, informational := 0, 0; ; {
+		n.limiter.header, n.limiter.parsesHeader = c.maxHeader(), true
 		response, err := http.ReadResponse(n.reader, request)
-		n.headerLimiter.active = false
+		n.limiter.parsesHeader = false
 		if err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
+			if informational++; informational > maxInformational {
+				return nil, errors.New("too many informational responses")
+			}
 			continue
 		}
 		if !c.mismatched(call, response.Header) {
--- a/forwarder/conn_test.go
+++ b/forwarder/conn_test.go
@@ -298,3 +298,82 @@
 	_, err = response.Body.Read(make([]byte, 1))
 	is.True(err != nil)
 }
+
+// endless writes a text again and again until the connection is closed, and counts the bytes.
+func endless(out net.Conn, text string, written *atomic.Int64) {
+	out.SetWriteDeadline(time.Now().Add(10 * time.Second))
+	for {
+		n, err := io.WriteString(out, text)
+		written.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Guards against endpoints in trouble that send bytes without end, in a head, between heads or after a body:
+// the call must fail, soon and without a time limit of its caller, and close the connection.
+func TestEndlessBytesEndTheCall(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for name, c := range map[string]struct{ start, repeat string }{
+		"status line":            {"HTTP/1.1 200 ", "x"},
+		"no answer at all":       {"", "\x00\xff~"},
+		"empty lines":            {"", "\r\n"},
+		"header names":           {head, "X-A: b\r\n"},
+		"one header":             {head + "X-A: ", "b"},
+		"informational answers":  {"", "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"},
+		"chunk size":             {head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+		"chunk extension":        {head + "Transfer-Encoding: chunked\r\n\r\n5;", "a"},
+		"empty-looking chunks":   {head + "Transfer-Encoding: chunked\r\n\r\n", "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\nx\r\n"},
+		"trailer":                {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"},
+		"answers to other calls": {"", "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\nx"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var written atomic.Int64
+			ended := make(chan struct{})
+			e := listen(t, func(_ int, in *bufio.Reader, out net.Conn) {
+				defer close(ended)
+				request(in)
+				io.WriteString(out, c.start)
+				endless(out, strings.Repeat(c.repeat, 1+4000/len(c.repeat)), &written)
+			})
+			client := &forwarder.Client{EchoHeader: "Request-Id", MaxResponse: 1 << 20}
+			_, err := send(t, client, e.target(), call("1"))
+			is.True(err != nil)
+			<-ended                          // the connection is closed
+			is.True(written.Load() < 16<<20) // the rest is in the buffers of the kernel
+		})
+	}
+}
+
+// Guards against a body without end that is read until memory or time runs out.
+func TestEndlessBodyIsLimited(t *testing.T) {
+	for name, header := range map[string]string{
+		"no length": "Connection: close\r\n", "chunked": "Transfer-Encoding: chunked\r\n", "enormous length": "Content-Length: 1000000000000\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var written atomic.Int64
+			ended := make(chan struct{})
+			e := listen(t, func(_ int, in *bufio.Reader, out net.Conn) {
+				defer close(ended)
+				request(in)
+				fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n%s\r\n", header)
+				text := strings.Repeat("x", 4096)
+				if strings.HasPrefix(header, "Transfer") {
+					text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+				}
+				endless(out, text, &written)
+			})
+			client := &forwarder.Client{MaxResponse: 1 << 20}
+			response, err := client.Forward(t.Context(), e.target(), call("1"))
+			is.NoErr(err)
+			n, err := io.Copy(io.Discard, response.Body)
+			is.True(errors.Is(err, forwarder.ErrResponseTooLarge))
+			is.True(n <= 1<<20)
+			response.Body.Close()
+			<-ended
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -60,4 +60,6 @@
 	ErrUncertain = errors.New("endpoint did not respond; the call may have been executed")
 	// ErrTooLarge means that the call exceeds a size limit; nothing was sent.
 	ErrTooLarge = errors.New("call exceeds the size limit")
+	// ErrResponseTooLarge means that the response exceeds a size limit, or never ends.
+	ErrResponseTooLarge = errors.New("response exceeds the size limit")
 )
--- /dev/null
+++ b/placer/check.go
@@ -0,0 +1,86 @@
+package placer
+
+import (
+	"math"
+
+	"github.com/pkg/errors"
+
+	"apricotspool/namer"
+)
+
+// maxMessageTime bounds the times in messages.
+const maxMessageTime namer.Seconds = 3600
+
+// Check returns an error if a message from another daemon has values that no core sends. The core must not
+// receive such a message.
+func (m *Message) Check() error {
+	if m.ReserveRequest != nil {
+		if err := checkTime("budget", m.ReserveRequest.Budget); err != nil {
+			return err
+		}
+		if err := m.ReserveRequest.Work.check(); err != nil {
+			return err
+		}
+	}
+	if m.ReserveResponse != nil {
+		if err := m.ReserveResponse.Load.check(); err != nil {
+			return err
+		}
+	}
+	if m.ProgressUpdate != nil {
+		if err := m.ProgressUpdate.Work.check(); err != nil {
+			return err
+		}
+	}
+	if m.Pause != nil {
+		if err := checkTime("length", m.Pause.Length); err != nil {
+			return err
+		}
+	}
+	for i := range m.Loads {
+		if err := m.Loads[i].check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *Work) check() error {
+	if w.Class < 0 || w.Class >= classes {
+		return errors.Errorf("class is %d, must be less than %d", w.Class, classes)
+	}
+	for name, tokens := range map[string]float64{"tokens": w.Tokens, "prefix tokens": w.PrefixTokens} {
+		if !isAmount(tokens) {
+			return errors.Errorf("%s are %v, must be finite and not negative", name, tokens)
+		}
+	}
+	if err := checkTime("gap", w.Gap); err != nil {
+		return err
+	}
+	return checkTime("until", w.Until)
+}
+
+func (l *Load) check() error {
+	for name, value := range map[string]float64{"rate": l.Rate, "inflow": l.Inflow} {
+		if !isAmount(value) {
+			return errors.Errorf("%s is %v, must be finite and not negative", name, value)
+		}
+	}
+	if l.Running < 0 || l.Streams < 0 || l.Generating < 0 {
+		return errors.Errorf("running %d, streams %d, generating %d must not be negative", l.Running, l.Streams, l.Generating)
+	}
+	if err := checkTime("prefix TTL", l.PrefixTTL); err != nil {
+		return err
+	}
+	return checkTime("in progress", l.InProgress)
+}
+
+// checkTime checks a time, which may be negative: a deadline that has passed.
+func checkTime(name string, t namer.Seconds) error {
+	if math.IsNaN(float64(t)) || t < -maxMessageTime || t > maxMessageTime {
+		return errors.Errorf("%s is %v s, must be within %v s", name, float64(t), float64(maxMessageTime))
+	}
+	return nil
+}
+
+func isAmount(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -73,7 +73,7 @@
 // minLoadAge.
 const (
 	minLoadAge     namer.Seconds = 2
-	maxLoadPeriods               = 2.5
+	maxLoadPeriods namer.Seconds = 2.5
 )
 
 // current reports whether the last summary is not too old.
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -33,6 +33,8 @@
 	// dropMessage selects the messages between daemons that are lost, if set.
 	dropMessage func(from, to namer.Host) bool
 
+	inspect func(placer.Message) // called for each message, if set
+
 	reports  []decider.Action // reports of the cores about endpoints and daemons
 	basis    map[namer.StreamID]decider.Basis
 	requests map[namer.StreamID]*trackedRequest
@@ -240,6 +242,9 @@
 	if f.dropMessage != nil && f.dropMessage(from.name, a.To) {
 		return
 	}
+	if f.inspect != nil {
+		f.inspect(a.Message.(placer.Message))
+	}
 	i := slices.IndexFunc(f.hosts, func(h *host) bool { return h.name == a.To })
 	f.after(networkDelay, func() {
 		if to := f.hosts[i]; !to.down {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -158,6 +158,9 @@
 	if err != nil {
 		return x.handleBrokenResponse(ctx, action, err)
 	}
+	if len(body) == maxBufferedBytes {
+		return x.handleBrokenResponse(ctx, action, errors.Errorf("status %d with a body of %d bytes or more", response.Status, len(body)))
+	}
 	if x.headerSent {
 		return x.handleBrokenResponse(ctx, action, errors.Errorf("status %d", response.Status))
 	}
