--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -241,3 +241,18 @@
 	is.Equal(w.Check(0, detector.Silence{Attempt: 3 * patience, Endpoint: time.Millisecond}, patience).Action, detector.AbandonLost)
 	is.True(w.Patience(&detector.Latency{}, 0, 10*time.Second, time.Second) <= 500*time.Millisecond) // leaves time for another attempt
 }
+
+// Guards against a daemon that has just started and takes its first calls, which were quick, for the usual.
+func TestFewQuickCallsDoNotSetTheUsual(t *testing.T) {
+	is := is.New(t)
+	l := &detector.Latency{}
+	w := detector.Watch{}
+	for range 5 {
+		l.Observe(5*time.Millisecond, 0)
+		is.True(w.Patience(l, 0, 300*time.Millisecond, 10*time.Second) >= 900*time.Millisecond)
+	}
+	for range 200 {
+		l.Observe(5*time.Millisecond, 0)
+	}
+	is.True(w.Patience(l, 0, 300*time.Millisecond, 10*time.Second) <= 100*time.Millisecond)
+}
--- a/director/fault_test.go
+++ b/director/fault_test.go
@@ -131,6 +131,9 @@
 				go p.apply(decodeRoleChange("e0"))
 				time.Sleep(20 * time.Second)
 				next.apply(decodeRoleChange("e0"))
+				// Until the command is confirmed: otherwise the successor sends it again after the crash, and the
+				// engine skips the late copy of the first process as a duplicate.
+				time.Sleep(10 * time.Second)
 				w.engines[0].crash()
 				time.Sleep(time.Minute)
 				is.Equal(strings.Contains(fmt.Sprint(w.foundViolations()), row.violation) && len(w.foundViolations()) > 0, row.violation != "")
--- a/placer/leaving_test.go
+++ b/placer/leaving_test.go
@@ -62,3 +62,29 @@
 	}
 	is.True(used > 0)
 }
+
+// Guards against ejecting a sound plain endpoint because one call took long, and against keeping one that is
+// dark in use.
+func TestSilentPlainEndpoint(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0, 2)
+	f.view.Services[0].Plain = true
+	f.configure()
+	ejected := func() int { return len(f.reports) }
+	call := workload{prompt: 1, sessions: 1, target: 300 * time.Millisecond, idempotent: true, attempts: 1}
+	silent := func(name namer.Endpoint) {
+		r := f.arrive(f.hosts[0], call)
+		for r.endpoint != name {
+			f.observe(r, decider.Event{Kind: decider.EventFinished, Attempt: r.attempt, Endpoint: r.endpoint})
+			r = f.arrive(f.hosts[0], call)
+		}
+		f.fail(r, r.attempt, classifier.RetryEndpointUnresponsive, false)
+	}
+	silent(f.names[0])
+	is.Equal(ejected(), 0)
+	silent(f.names[1])
+	silent(f.names[1])
+	silent(f.names[1])
+	is.Equal(ejected(), 1)
+	is.Equal(f.reports[0].Endpoint, f.names[1])
+}
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"slices"
 	"time"
 
 	"apricotspool/classifier"
@@ -138,13 +139,22 @@
 	}
 }
 
+// Reasons that eject an endpoint at once, and those that count half, since a sound endpoint has them as well.
+var (
+	ejectingReasons = []classifier.RetryReason{classifier.RetryConnectFailed, classifier.RetryEndpointLeaving, classifier.RetryEndpointUnresponsive}
+	mildReasons     = []classifier.RetryReason{classifier.RetryEndpointRefused, classifier.RetryEndpointFailed, classifier.RetryResponseLost}
+)
+
 // recordEndpointFailure records a failure and reports an ejection.
 func (c *Core) recordEndpointFailure(now namer.Seconds, e *endpoint, reason classifier.RetryReason) {
 	var ejected bool
-	switch reason {
-	case classifier.RetryConnectFailed, classifier.RetryEndpointLeaving, classifier.RetryEndpointUnresponsive:
+	switch {
+	case reason == classifier.RetryEndpointUnresponsive && e.pool(c).plain:
+		// Only its silence speaks against it: a sound endpoint is silent during its longest calls.
+		ejected = e.health.recordFailure(now, 1)
+	case slices.Contains(ejectingReasons, reason):
 		ejected = e.health.eject(now)
-	case classifier.RetryEndpointRefused, classifier.RetryEndpointFailed, classifier.RetryResponseLost:
+	case slices.Contains(mildReasons, reason):
 		ejected = e.health.recordFailure(now, 0.5)
 	default:
 		ejected = e.health.recordFailure(now, 1)
