placer: Fetch prefixes from any holder; retry delays that cover the queue

Engines that had sent no summary counted as holding nothing. Change: any engine that is known to hold a prefix is a source; the delay of a refusal is the time until the shortest queue has fallen to half of the caller's patience, 0.3 to 3 s.

--- a/placer/affinity.go
+++ b/placer/affinity.go
@@ -14,20 +14,27 @@
 type prefixAffinity struct {
 	prefill [affinityRanks]*endpoint
 	decode  [affinityRanks]*endpoint
+	// holder is the engine with the greatest weight of those that offer the prefix; nil if none is known. It may
+	// be unranked, for example after its role has changed.
+	holder *endpoint
 }
 
-func (p *pool) prefixAffinity(q *request) prefixAffinity {
+func (p *pool) prefixAffinity(now namer.Seconds, q *request) prefixAffinity {
 	var a prefixAffinity
 	prefix := q.prefix()
 	if prefix == 0 {
 		return a
 	}
 	var prefill, decode [affinityRanks]uint64
+	var held uint64
 	for _, e := range p.endpoints {
 		if e.leaving() {
 			continue
 		}
 		weight := rendezvous(prefix, string(e.view.Name))
+		if weight > held && e.offers(now, prefix) {
+			a.holder, held = e, weight
+		}
 		if e.view.Role == namer.RolePrefill {
 			insertByWeight(&a.prefill, &prefill, e, weight)
 		} else {
@@ -61,10 +68,10 @@
 }
 
 // fetchSource returns the engine from which an engine fetches a prefix that it has not cached: an affinity
-// engine that holds the prefix, or else the one that most probably does. It reports whether the source
+// engine that holds the prefix, another holder, or else the one that most probably holds it. It reports whether the source
 // holds it.
 func (a *prefixAffinity) fetchSource(now namer.Seconds, e *endpoint, prefix uint64) (*endpoint, bool) {
-	for _, source := range []*endpoint{a.decode[0], a.prefill[0], a.decode[1], a.prefill[1]} {
+	for _, source := range []*endpoint{a.decode[0], a.prefill[0], a.decode[1], a.prefill[1], a.holder} {
 		if source != nil && source != e && source.offers(now, prefix) {
 			return source, true
 		}
--- a/placer/core.go
+++ b/placer/core.go
@@ -183,7 +183,7 @@
 const (
 	// noEndpointRetry is the retry delay when no endpoint is usable.
 	noEndpointRetry = 300 * time.Millisecond
-	// busyRetry is the retry delay when the endpoints are overloaded.
+	// busyRetry is the shortest retry delay when the endpoints are overloaded.
 	busyRetry = 300 * time.Millisecond
 	// refusedRetry is the retry delay when the last permitted attempt has failed.
 	refusedRetry = 200 * time.Millisecond
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -46,7 +46,7 @@
 }
 
 func (e *endpoint) fresh(now namer.Seconds, p cachedPrefix) bool {
-	return now-p.usedAt < e.load.PrefixTTL
+	return now-p.usedAt < cmp.Or(e.load.PrefixTTL, unknownPrefixTTL)
 }
 
 // holds reports whether a prompt that is sent to an engine now will probably find its prefix cached there.
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -34,6 +34,10 @@
 	dropMessage func(from, to namer.Host) bool
 
 	inspect func(placer.Message) // called for each message, if set
+	// onDispatch is called for each request that is sent to an engine, with its prefix and whether another engine
+	// has processed the prompt, if set.
+	onDispatch func(a decider.Action, prefix uint64, prefilled bool)
+	knownAt    map[uint64]map[namer.Endpoint]bool // engines that have received a prefix
 
 	reports  []decider.Action // reports of the cores about endpoints and daemons
 	basis    map[namer.StreamID]decider.Basis
@@ -69,6 +73,7 @@
 	startedAt       time.Duration
 	finishedAt      time.Duration
 	outcome         classifier.Outcome
+	retryAfter      time.Duration
 	runs            int // number of engines that generated for it
 	priority        int
 }
@@ -112,8 +117,8 @@
 func newFleetOf(t *testing.T, prefillClass modeler.Class, hosts, prefillEngines, decodeEngines int) *fleet {
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), engines: map[namer.Endpoint]*engine{}, requests: map[namer.StreamID]*trackedRequest{},
-		basis: map[namer.StreamID]decider.Basis{},
-		view:  decider.Fleet{Services: []decider.ServiceView{{Name: service, Backups: true, EventTokens: eventTokens}}},
+		basis: map[namer.StreamID]decider.Basis{}, knownAt: map[uint64]map[namer.Endpoint]bool{},
+		view: decider.Fleet{Services: []decider.ServiceView{{Name: service, Backups: true, EventTokens: eventTokens}}},
 	}
 	for i := range prefillEngines + decodeEngines {
 		name := namer.Endpoint(fmt.Sprintf("e-%02d", i))
@@ -218,9 +223,12 @@
 		r := f.requests[a.Request]
 		switch a.Kind {
 		case decider.ActionRefuse:
-			r.outcome = a.Outcome
+			r.outcome, r.retryAfter = a.Outcome, a.RetryAfter
 		case decider.ActionDispatch, decider.ActionPrefill:
 			f.basis[a.Request] = a.Basis
+			if f.onDispatch != nil {
+				f.onDispatch(a, r.request.Parts[0].ID, r.outcome == "handled")
+			}
 			r.attempt, r.endpoint, r.prefill, r.backup, r.priority = a.Attempt, a.Endpoint, a.Kind == decider.ActionPrefill, a.Backup, a.Priority
 			prefilled := r.priority >= 0 && a.Kind == decider.ActionDispatch && f.takePrefilled(r)
 			f.after(networkDelay, func() { f.submit(r, a, prefilled) })
--- a/placer/load_test.go
+++ b/placer/load_test.go
@@ -1,11 +1,13 @@
 package placer_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"apricotspool/classifier"
 	"apricotspool/namer"
 )
 
@@ -163,3 +165,36 @@
 		})
 	}
 }
+
+// Guards against callers that are sent back into the same overload: with a fixed delay they returned while the
+// queues were as long as before, and were refused again.
+func TestRetryAfterCoversTheQueue(t *testing.T) {
+	is := is.New(t)
+	f := newFleetOf(t, slower(prefillClass, 8), 1, 1, 2)
+	long := workload{prompt: 20_000, shared: 100, output: 40, sessions: 1000, target: 600 * time.Millisecond, priority: 2}
+	f.generateLoad(long, 12, 4*time.Second) // the rates are known then
+	f.run(10 * time.Second)
+	var refused []time.Duration
+	for range 120 {
+		r := f.arrive(f.hosts[0], long)
+		if r.outcome == classifier.TargetUnreachable {
+			refused = append(refused, r.retryAfter)
+			queue := f.shortestQueue()
+			is.True(r.retryAfter >= 200*time.Millisecond)
+			is.True(r.retryAfter >= time.Duration(0.7*float64(queue-time.Second))) // callers wait for a second of 2 in the queue
+		}
+		f.run(f.now + 5*time.Millisecond)
+	}
+	is.True(len(refused) > 10)
+	is.True(slices.Max(refused) > 450*time.Millisecond)
+}
+
+// shortestQueue returns the shortest time until an engine has processed its prompts.
+func (f *fleet) shortestQueue() time.Duration {
+	shortest := time.Hour
+	for _, e := range f.engines {
+		queue := time.Duration(float64(e.Load(f.now).WaitingPrefill) * e.Class.PrefillToken.Seconds() * float64(time.Second))
+		shortest = min(shortest, queue)
+	}
+	return shortest
+}
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -76,7 +76,7 @@
 			return found
 		}
 	}
-	affinity := q.pool.prefixAffinity(q)
+	affinity := q.pool.prefixAffinity(now, q)
 	target, longest := namer.SecondsOf(q.Target), q.pool.longestExpress(now, q)
 	ownTokens := max(1, float64(q.PromptTokens)-q.prefixTokens()+q.deliveredTokens)
 	var onTime, late lowestScore
@@ -208,7 +208,7 @@
 // pickDecodeEngine returns the engine that generates the output after a prefill engine has processed the
 // prompt.
 func (c *Core) pickDecodeEngine(now namer.Seconds, q *request) *endpoint {
-	preferred := q.pool.prefixAffinity(q).decode[0]
+	preferred := q.pool.prefixAffinity(now, q).decode[0]
 	var least lowestScore
 	for _, e := range q.pool.endpoints {
 		if e.view.Role == namer.RolePrefill || !e.usable(now, q.Idempotent) || q.hasTried(e) {
--- a/placer/place.go
+++ b/placer/place.go
@@ -1,6 +1,9 @@
 package placer
 
 import (
+	"math"
+	"time"
+
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/namer"
@@ -20,13 +23,13 @@
 		found := c.pick(now, q)
 		switch {
 		case found.endpoint == nil && found.overloaded:
-			c.refuse(now, q, classifier.TargetUnreachable, busyRetry)
+			c.refuse(now, q, classifier.TargetUnreachable, c.busyRetryAfter(now, q))
 			return
 		case found.endpoint == nil:
 			c.refuse(now, q, classifier.NoEndpoint, noEndpointRetry)
 			return
 		case len(q.declined) >= maxReserveRequests && q.late:
-			c.refuse(now, q, classifier.TargetUnreachable, busyRetry)
+			c.refuse(now, q, classifier.TargetUnreachable, c.busyRetryAfter(now, q))
 			return
 		case len(q.declined) >= maxReserveRequests:
 			// No engine can meet the target. Retry once for capacity that the others leave.
@@ -47,6 +50,29 @@
 	}
 }
 
+// busyRetryAfter returns when an overloaded service will probably have room for a request: when its shortest
+// queue has become short enough that the caller would wait for it.
+func (c *Core) busyRetryAfter(now namer.Seconds, q *request) time.Duration {
+	shortest := namer.Seconds(math.Inf(1))
+	for _, e := range q.pool.endpoints {
+		if e.usable(now, q.Idempotent) {
+			shortest = min(shortest, e.queueDelay(now, lateClass))
+		}
+	}
+	if math.IsInf(float64(shortest), 1) {
+		return busyRetry
+	}
+	rest := shortest - queuePatienceShare*(q.firstEventBy-q.arrived)
+	return max(busyRetry, min(rest, maxBusyRetry).Duration())
+}
+
+const (
+	// queuePatienceShare is the part of a caller's patience for the queue; the rest is for its own prompt.
+	queuePatienceShare = 0.5
+	// maxBusyRetry bounds the retry delay of an overloaded service, whose queues are estimates.
+	maxBusyRetry namer.Seconds = 3
+)
+
 func (c *Core) placePlain(now namer.Seconds, q *request) {
 	e := c.pickLeastLoaded(now, q)
 	if e == nil {
