--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -108,7 +108,7 @@
 	g.entries = &follower.Follower{Source: store, Prefix: g.Platform.EntryPrefix, StalenessBound: g.Settings.StalenessBounds.Endpoints.Std(), Readers: readers, Log: g.Log.Events}
 	g.registrar = &registrar.Registrar{Source: g.entries, Decode: g.Platform.DecodeEntry, Log: g.Log.Events}
 	seed := xxhash.Sum64String(string(g.Settings.Host)) ^ uint64(time.Now().UnixNano())
-	core := &placer.Core{Self: g.Settings.Host, Seed: seed, Retries: placer.Retries{
+	core := &placer.Core{Self: g.Settings.Host, DataCentre: g.Settings.DataCentre, Seed: seed, Retries: placer.Retries{
 		Ratio: g.Settings.Retries.Ratio, Slack: g.Settings.Retries.Slack, Window: g.Settings.Retries.Window.Std(),
 	}}
 	g.datagrams = &messenger.Datagrams{Socket: socket, Log: g.Log.Events}
--- a/assembler/gateway_test.go
+++ b/assembler/gateway_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +17,6 @@
 	"github.com/rs/zerolog"
 
 	"apricotspool/assembler"
-	"apricotspool/imitator"
 	"apricotspool/loader"
 	"apricotspool/namer"
 	"apricotspool/platform"
@@ -26,30 +24,25 @@
 	"apricotspool/recorder"
 )
 
-// site is a small deployment on loopback: a store, endpoint servers and gateways.
+// site is a small deployment on loopback: a store, endpoints and gateways.
 type site struct {
-	t        *testing.T
-	store    *imitator.Store
-	platform *http.Server
-	address  netip.AddrPort
-	version  atomic.Int64
-	requests atomic.Int64
-
-	mu      sync.Mutex
-	servers []*platformtest.Server
+	platformtest.Site
+	t       testing.TB
+	address netip.AddrPort // of the store
+	api     *http.Server   // serves the store
 }
 
-func newSite(t *testing.T) *site {
-	s := &site{t: t, store: &imitator.Store{}}
+func newSite(t testing.TB) *site {
+	s := &site{t: t}
 	listener := listenTCP(t)
 	s.address = netip.MustParseAddrPort(listener.Addr().String())
-	s.platform = &http.Server{Handler: &platformtest.StoreHandler{Store: s.store}}
-	go s.platform.Serve(listener)
-	t.Cleanup(func() { s.platform.Close() })
+	s.api = &http.Server{Handler: &platformtest.StoreHandler{Store: &s.Store}}
+	go s.api.Serve(listener)
+	t.Cleanup(func() { s.api.Close() })
 	return s
 }
 
-func listenTCP(t *testing.T) net.Listener {
+func listenTCP(t testing.TB) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -57,7 +50,7 @@
 }
 
 // freeAddress returns an address that nothing listens on.
-func freeAddress(t *testing.T) netip.AddrPort {
+func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
 	listener := listenTCP(t)
 	defer listener.Close()
@@ -66,36 +59,20 @@
 
 // route is one route of the configuration.
 type route struct {
-	prefix, kind, service string
-	timeout               time.Duration
+	prefix  string
+	kind    platformtest.Kind
+	service string
+	timeout time.Duration
 }
 
 // configure writes the next version of the configuration.
 func (s *site) configure(routes ...route) {
 	s.t.Helper()
-	is := is.New(s.t)
-	version := s.version.Add(3)
-	var list []any
-	for i, r := range routes {
-		list = append(list, map[string]any{
-			"name": fmt.Sprintf("r-%d", i), "host": "site.example", "pathPrefix": r.prefix, "kind": r.kind, "timeoutMs": r.timeout.Milliseconds(),
-			"targetLatencyMs": 300, "targetGapMs": 150, "priority": i, "service": r.service, "attempts": 2, "resumable": r.kind == "streaming",
-		})
-	}
-	value, err := json.Marshal(map[string]any{
-		"version": version, "routes": list, "limits": map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
-		"services": []any{
-			map[string]any{"name": "app", "maxConns": 96},
-			map[string]any{"name": "llm", "maxConns": 96, "engine": map[string]any{"slots": 16, "kvTokens": 1000000, "stride": 57, "handleTtlS": 5, "moves": true}},
-		},
-	})
-	is.NoErr(err)
-	old, err := s.store.Get(s.t.Context(), platform.ConfigKey)
-	if err != nil {
-		old.Version = 0
+	var list []platformtest.Route
+	for _, r := range routes {
+		list = append(list, platformtest.Route{Prefix: r.prefix, Kind: r.kind, Service: r.service, Timeout: r.timeout})
 	}
-	_, err = s.store.Put(s.t.Context(), platform.ConfigKey, value, old.Version)
-	is.NoErr(err)
+	is.New(s.t).NoErr(s.Configure(s.t.Context(), list...))
 }
 
 // configureDefaultRoutes configures two routes of a plain service and a streaming route of a model service.
@@ -108,15 +85,9 @@
 
 func (s *site) startServer(id, service, stage string) *platformtest.Server {
 	s.t.Helper()
-	server := &platformtest.Server{
-		ID: id, Service: service, Zone: "a", Stage: stage, Slots: 16, Store: s.store, ServiceTime: 5 * time.Millisecond, Events: 5,
-	}
-	is.New(s.t).NoErr(server.Start("127.0.0.1:0"))
-	server.ShareHandles()
+	server, err := s.StartServer(id, service, stage)
+	is.New(s.t).NoErr(err)
 	s.t.Cleanup(server.Crash)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.servers = append(s.servers, server)
 	return server
 }
 
@@ -164,7 +135,7 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func eventually(t *testing.T, condition string, holds func() bool) {
+func eventually(t testing.TB, condition string, holds func() bool) {
 	t.Helper()
 	for limit := time.Now().Add(20 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(limit) {
@@ -182,17 +153,10 @@
 
 // send sends a request with a unique ID and returns the ID.
 func (s *site) send(client *http.Client, g *gateway, method, path string) (string, reply) {
-	id := fmt.Sprintf("%016x", s.requests.Add(1))
-	r, err := http.NewRequest(method, "http://"+g.settings.Callers.String()+path, strings.NewReader("body of "+id))
+	id, r, err := s.NewRequest(method, g.settings.Callers, path)
 	if err != nil {
 		return id, reply{err: err}
 	}
-	r.Host = "site.example"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "5000")
-	r.Header.Set("Model", "m")
-	r.Header.Set("Token-Usage", "900,300")
-	r.Header.Set("Prompt-Prefix", "a:300,b:300,"+id+":300")
 	response, err := client.Do(r)
 	if err != nil {
 		return id, reply{err: err}
@@ -203,27 +167,7 @@
 }
 
 // stampedByServer reports whether a response carries the valid stamp of one of the servers.
-func (s *site) stampedByServer(id string, r reply) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, server := range s.servers {
-		if r.header.Get("Server-Stamp") == platformtest.Stamp(server.ID, id, r.status) {
-			return true
-		}
-	}
-	return false
-}
-
-// executions returns how often all servers together have executed a request.
-func (s *site) executions(id string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	total := 0
-	for _, server := range s.servers {
-		total += server.Executions()[id]
-	}
-	return total
-}
+func (s *site) stampedByServer(id string, r reply) bool { return s.Stamped(id, r.status, r.header) }
 
 // Guards the path from client to server end to end: plain services, streams with prefill at one server
 // and decoding at another, and requests that match no route.
@@ -232,7 +176,7 @@
 	s := newSite(t)
 	s.configureDefaultRoutes()
 	s.startServer("app-1", "app", "")
-	s.startServer("read-1", "llm", "prefill")
+	prefill := s.startServer("read-1", "llm", "prefill")
 	s.startServer("make-1", "llm", "decode")
 	one, two := s.startGateway(s.newSettings("g-1")), s.startGateway(s.newSettings("g-2"))
 	eventually(t, "readiness", func() bool { return one.ready() && two.ready() })
@@ -240,19 +184,15 @@
 		id, got := s.send(http.DefaultClient, g, "POST", "/orders/1")
 		is.Equal(got.status, 200)
 		is.True(s.stampedByServer(id, got))
-		is.Equal(s.executions(id), 1)
+		is.Equal(s.Executions(id), 1)
 		id, got = s.send(http.DefaultClient, g, "POST", "/ask/1")
 		is.Equal(got.status, 200)
 		is.True(s.stampedByServer(id, got))
-		want := ""
-		for n := range 5 {
-			want += platformtest.Event(id, n+1)
-		}
-		is.Equal(got.body, want)
+		is.Equal(got.body, platformtest.StreamBody(id, 5))
 		_, got = s.send(http.DefaultClient, g, "GET", "/none/1")
 		is.Equal(got.status, 404)
 	}
-	is.Equal(s.servers[1].Handles(), 0) // every KV handle was consumed
+	is.Equal(prefill.Handles(), 0) // every KV handle was consumed
 }
 
 // Guards against a gateway that reports itself as ready, or rejects requests with a non-retryable status,
@@ -289,7 +229,7 @@
 	}
 	_, got := s.send(http.DefaultClient, gateways[0], "GET", "/new-0/")
 	is.Equal(got.status, 404)
-	s.version.Store(2) // as after an operator error or the restore of a backup
+	s.SetVersion(2) // as after an operator error or the restore of a backup
 	s.configure(route{"/items/", "safe", "app", time.Second})
 	time.Sleep(300 * time.Millisecond)
 	for _, g := range gateways {
@@ -447,12 +387,12 @@
 	s.configureDefaultRoutes()
 	s.startServer("app-1", "app", "")
 	var unavailable atomic.Bool
-	s.platform.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.api.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if unavailable.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		(&platformtest.StoreHandler{Store: s.store}).ServeHTTP(w, r)
+		(&platformtest.StoreHandler{Store: &s.Store}).ServeHTTP(w, r)
 	})
 	g := s.startGateway(s.newSettings("g-1"))
 	eventually(t, "readiness", g.ready)
@@ -497,13 +437,13 @@
 	is := is.New(t)
 	s := newSite(t)
 	s.configure(route{"/items/", "safe", "app", time.Second})
-	backup := s.store.Backup()
+	backup := s.Store.Backup()
 	s.startServer("app-1", "app", "")
 	g := s.startGateway(s.newSettings("g-1"))
 	eventually(t, "readiness", g.ready)
 	s.configure(route{"/items/", "safe", "app", time.Second}, route{"/new/", "safe", "app", time.Second})
 	eventually(t, "the new route", func() bool { _, got := s.send(http.DefaultClient, g, "GET", "/new/1"); return got.status == 200 })
-	s.store.Restore(backup)
+	s.Store.Restore(backup)
 	for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		_, got := s.send(http.DefaultClient, g, "GET", "/new/1")
 		is.Equal(got.status, 200)
--- a/placer/check_test.go
+++ b/placer/check_test.go
@@ -83,7 +83,7 @@
 	is := is.New(t)
 	f := newFleet(t, 4, 3, 3)
 	sent := 0
-	f.inspect = func(m placer.Message) {
+	f.inspect = func(_ namer.Host, m placer.Message) {
 		sent++
 		is.NoErr(m.Check())
 	}
--- a/placer/core.go
+++ b/placer/core.go
@@ -20,14 +20,16 @@
 // Core places requests on endpoints. Set the exported fields before the first call. The action slices
 // returned by its methods are valid until the next call.
 type Core struct {
-	Self namer.Host
-	Seed uint64 // of the random number generator
+	Self       namer.Host
+	DataCentre namer.DataCentre // of Self, while its own entry is not known
+	Seed       uint64           // of the random number generator
 	// Retries limits the retries of all daemons together.
 	Retries Retries
 
 	epoch     time.Time
 	random    *rand.Rand
 	members   []*member // all daemons, including this one
+	byScope   [scopes][]*member
 	endpoints map[namer.Endpoint]*endpoint
 	pools     map[namer.Service]*pool
 	requests  map[namer.StreamID]*request
@@ -36,7 +38,7 @@
 	ledgers             map[namer.Endpoint]*ledger
 	pendingReservations map[ReservationID]*request // awaiting a response
 	lastReservation     ReservationID
-	lastSummaryAt       namer.Seconds
+	lastSummaryAt       [scopes]namer.Seconds
 }
 
 // pool holds the endpoints of one service.
@@ -143,7 +145,7 @@
 			delete(c.ledgers, view.Name)
 		}
 		e.view = view
-		e.maxLoadAge = max(minLoadAge, maxLoadPeriods*c.summaryPeriod())
+		e.maxLoadAge = max(minLoadAge, maxLoadPeriods*summaryPeriod(len(c.members)))
 		c.endpoints[view.Name] = e
 		p.endpoints = append(p.endpoints, e)
 	}
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -33,7 +33,7 @@
 	// dropMessage selects the messages between daemons that are lost, if set.
 	dropMessage func(from, to namer.Host) bool
 
-	inspect func(placer.Message) // called for each message, if set
+	inspect func(to namer.Host, m placer.Message) // called for each message, if set
 	// onDispatch is called for each request that is sent to an engine, with its prefix and whether another engine
 	// has processed the prompt, if set.
 	onDispatch func(a decider.Action, prefix uint64, prefilled bool)
@@ -251,7 +251,7 @@
 		return
 	}
 	if f.inspect != nil {
-		f.inspect(a.Message.(placer.Message))
+		f.inspect(a.To, a.Message.(placer.Message))
 	}
 	i := slices.IndexFunc(f.hosts, func(h *host) bool { return h.name == a.To })
 	f.after(networkDelay, func() {
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -29,8 +29,8 @@
 	prefillQuota   leakyBucket
 	lateness       latenessEstimate
 	recentPrefixes map[uint64]namer.Seconds // when a prefix was last placed here
-	newPrefixes    []uint64                 // recorded since the last broadcast
-	idleReported   bool                     // the last summary reported an empty ledger
+	newPrefixes    [scopes][]uint64         // recorded since the last summary
+	idleReported   [scopes]bool             // the last summary reported an empty ledger
 }
 
 type reservationKey struct {
@@ -268,8 +268,10 @@
 		if r == l.current && (r.placedAt < l.currentSince || l.rate.value() == 0) {
 			l.rate.observe(r.tokens, now-l.currentSince)
 		}
-		if len(l.newPrefixes) < maxNewPrefixes && r.fillsCache {
-			l.newPrefixes = append(l.newPrefixes, r.work.Prefix)
+		for s := range l.newPrefixes {
+			if r.fillsCache && len(l.newPrefixes[s]) < maxNewPrefixes {
+				l.newPrefixes[s] = append(l.newPrefixes[s], r.work.Prefix)
+			}
 		}
 		if r.work.Class < lateClass {
 			l.lateness.observe(r.prefillDueAt-r.placedAt, now-r.prefillDueAt)
--- a/placer/load_test.go
+++ b/placer/load_test.go
@@ -9,6 +9,7 @@
 
 	"apricotspool/classifier"
 	"apricotspool/namer"
+	"apricotspool/placer"
 )
 
 // Guards against daemons that decide concurrently and claim the same capacity. Without ledgers, each one
@@ -198,3 +199,33 @@
 	}
 	return shortest
 }
+
+// Guards against load summaries that are as rare within a data centre as between data centres, where they use
+// links that many daemons share, and against ones that multiply with the size of the fleet.
+func TestSummariesAreFrequentWithinDataCentre(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 60, 3, 3)
+	for i := range f.view.Members {
+		f.view.Members[i].DataCentre = namer.DataCentre(string(rune('a' + i%3)))
+	}
+	for i := range f.view.Endpoints {
+		f.view.Endpoints[i].DataCentre = f.view.Members[i].DataCentre
+	}
+	f.configure()
+	received := map[namer.Host]int{}
+	f.inspect = func(to namer.Host, m placer.Message) {
+		if m.Loads != nil {
+			received[to]++
+		}
+	}
+	f.generateLoad(longPrompt, 200, 6*time.Second)
+	f.run(6 * time.Second)
+	for _, m := range f.view.Members {
+		// Each of at most 6 owners sends every 0.2 s within its data centre and every 0.4 s to the others.
+		is.True(received[m.Host] <= 6*6*5)
+		is.True(received[m.Host] >= 2*6*2)
+	}
+	near := received[f.view.Members[0].Host]
+	t.Logf("summaries in 6 s: %d", near)
+	is.True(onTimeRatio(f.arrivedWithin(longPrompt, 2*time.Second, 6*time.Second)) >= 0.95)
+}
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -31,7 +31,7 @@
 func (c *Core) setMembers(views []decider.MemberView) {
 	old := c.members
 	c.members = nil
-	views = append(slices.Clone(views), decider.MemberView{Host: c.Self})
+	views = append(slices.Clone(views), decider.MemberView{Host: c.Self, DataCentre: c.DataCentre})
 	slices.SortStableFunc(views, func(a, b decider.MemberView) int { return cmp.Compare(a.Host, b.Host) })
 	for _, view := range slices.CompactFunc(views, func(a, b decider.MemberView) bool { return a.Host == b.Host }) {
 		m := &member{}
@@ -41,6 +41,7 @@
 		m.MemberView = view
 		c.members = append(c.members, m)
 	}
+	c.setScopes()
 }
 
 // ledgerOwner returns the daemon that owns the ledger of an engine, among the responsive ones. It prefers
@@ -203,22 +204,60 @@
 	}
 }
 
-// Each daemon receives at most maxSummaryRate summary messages per second.
+// Each daemon receives at most maxSummaryRate summary messages per second from its own data centre, and as many
+// from the others.
 const (
 	maxSummaryRate                 = 100.0
 	minSummaryPeriod namer.Seconds = 0.03
 )
 
-func (c *Core) summaryPeriod() namer.Seconds {
-	return max(minSummaryPeriod, namer.Seconds(float64(len(c.members))/maxSummaryRate))
+// scope is a set of daemons that receive summaries at the same times.
+type scope int
+
+// The scopes. Data centres have a part of the daemons each, so that summaries within one are more frequent. They
+// don't use the links between data centres either.
+const (
+	nearScope scope = iota // the own data centre
+	farScope               // the other data centres
+	scopes
+)
+
+// summaryPeriod returns the period of summaries for a number of daemons.
+func summaryPeriod(daemons int) namer.Seconds {
+	return max(minSummaryPeriod, namer.Seconds(float64(daemons)/maxSummaryRate))
+}
+
+// setScopes divides the daemons into the scopes.
+func (c *Core) setScopes() {
+	var own namer.DataCentre
+	for _, m := range c.members {
+		if m.Host == c.Self {
+			own = m.DataCentre
+		}
+	}
+	c.byScope = [scopes][]*member{}
+	for _, m := range c.members {
+		switch {
+		case m.Host == c.Self:
+		case m.DataCentre == own:
+			c.byScope[nearScope] = append(c.byScope[nearScope], m)
+		default:
+			c.byScope[farScope] = append(c.byScope[farScope], m)
+		}
+	}
 }
 
 // broadcastLoads sends the load summaries of the ledgers that this daemon owns to all other daemons.
 func (c *Core) broadcastLoads(now namer.Seconds) {
-	if now-c.lastSummaryAt < c.summaryPeriod() || len(c.members) < 2 {
-		return
+	for s, members := range c.byScope {
+		if len(members) > 0 && now-c.lastSummaryAt[s] >= summaryPeriod(len(members)+1) {
+			c.lastSummaryAt[s] = now
+			c.sendLoads(now, scope(s))
+		}
 	}
-	c.lastSummaryAt = now
+}
+
+func (c *Core) sendLoads(now namer.Seconds, s scope) {
 	var loads []Load
 	for name, l := range c.ledgers {
 		e := c.endpoints[name]
@@ -227,20 +266,18 @@
 		}
 		l.expire(now)
 		load := c.loadSummary(now, e)
-		load.NewPrefixes, l.newPrefixes = l.newPrefixes, nil
+		load.NewPrefixes, l.newPrefixes[s] = l.newPrefixes[s], nil
 		c.updateLoad(now, load)
-		if l.idleReported && len(l.reservations) == 0 {
+		if l.idleReported[s] && len(l.reservations) == 0 && len(load.NewPrefixes) == 0 {
 			continue // unchanged since the last summary
 		}
-		l.idleReported = len(l.reservations) == 0
+		l.idleReported[s] = len(l.reservations) == 0
 		loads = append(loads, load)
 	}
 	if len(loads) == 0 {
 		return
 	}
-	for _, m := range c.members {
-		if m.Host != c.Self {
-			c.send(m.Host, Message{Loads: loads})
-		}
+	for _, m := range c.byScope[s] {
+		c.send(m.Host, Message{Loads: loads})
 	}
 }
