assigner: 0.4 of the engines always generate

Ruled out: the slots (few were taken). Change: under load no more engines are taken from generating than an idle fleet has there.

--- a/assigner/planner.go
+++ b/assigner/planner.go
@@ -41,9 +41,11 @@
 const (
 	// observeFor is how long the planner observes a load, or the lack of one, before its first decision.
 	observeFor = 3 * time.Second
-	// idleGenerateShare is the part of the engines that generate before any load is known. Engines that
-	// generate also process prompts, more slowly; while nothing runs, a change costs nothing.
-	idleGenerateShare = 0.4
+	// minGenerateShare is the part of the engines that always generate, and all that do before any load is known:
+	// while nothing runs, a change costs nothing. Engines that generate process prompts, too, and receive the
+	// KV caches of all prompts over their links.
+	minGenerateShare = 0.4
+	minGenerate      = 2
 	// idleFill is the part of the engines' rate up to which they count as idle.
 	idleFill = 0.01
 	// persistFor is how long engines must be wanted in another role under load. Engines that crash are often
@@ -66,9 +68,6 @@
 	changeCooldown = 20 * time.Second
 	// maxChangingShare is the part of the engines that may change at a time.
 	maxChangingShare = 0.25
-	// minGenerateShare bounds the engines that are kept generating for the sake of one in each data centre.
-	minGenerateShare = 1.0 / 3
-	minGenerate      = 2
 )
 
 // Planner plans the roles of the engines of one service. The zero value has observed nothing.
@@ -212,13 +211,13 @@
 func (p *Planner) wantedGenerate(prefill, generate []Engine) int {
 	all := slices.Concat(prefill, generate)
 	if p.started.IsZero() {
-		return min(len(generate), max(minimumGenerate(all), int(math.Ceil(idleGenerateShare*float64(len(all))))))
+		return min(len(generate), minimumGenerate(len(all)))
 	}
 	slots := meanSlots(all)
 	if needed := min(max(minGenerate, int(math.Ceil(p.recent/(maxGenerateFill*slots)))), len(all)-1); len(generate) < needed {
 		return needed
 	}
-	needed := max(minimumGenerate(all), int(math.Ceil(p.generate/(generateFill*slots))))
+	needed := max(minimumGenerate(len(all)), int(math.Ceil(p.generate/(generateFill*slots))))
 	if len(generate) <= needed {
 		return len(generate)
 	}
@@ -236,14 +235,9 @@
 	return max(needed, len(all)-max(neededPrefill, len(prefill)))
 }
 
-// minimumGenerate returns the number of engines that always generate: one in each data centre, so that each
-// can serve alone, as far as that leaves most engines for prompts.
-func minimumGenerate(engines []Engine) int {
-	dataCentres := map[namer.DataCentre]bool{}
-	for _, e := range engines {
-		dataCentres[e.DataCentre] = true
-	}
-	return max(minGenerate, min(len(dataCentres), int(math.Ceil(minGenerateShare*float64(len(engines))))))
+// minimumGenerate returns the number of engines that always generate.
+func minimumGenerate(engines int) int {
+	return max(minGenerate, int(math.Ceil(minGenerateShare*float64(engines))))
 }
 
 func meanSlots(engines []Engine) float64 {
