--- a/assigner/planner.go
+++ b/assigner/planner.go
@@ -46,6 +46,9 @@
 	// KV caches of all prompts over their links.
 	minGenerateShare = 0.4
 	minGenerate      = 2
+	// minSlots is the number of slots from which roles change. Outputs fill engines with fewer slots before the
+	// load summaries show it, so that processed prompts are refused there.
+	minSlots = 32
 	// idleFill is the part of the engines' rate up to which they count as idle.
 	idleFill = 0.01
 	// persistFor is how long engines must be wanted in another role under load. Engines that crash are often
@@ -135,7 +138,7 @@
 			generate = append(generate, e)
 		}
 	}
-	if !p.informed(now) || len(prefill)+len(generate) < 2*minGenerate || !hasBothRoles(engines) {
+	if !p.informed(now) || len(prefill)+len(generate) < 2*minGenerate || !hasBothRoles(engines) || meanSlots(engines) < minSlots {
 		return nil
 	}
 	wanted := p.wantedGenerate(prefill, generate)
