--- a/decider/fleet.go
+++ b/decider/fleet.go
@@ -49,7 +49,7 @@
 	EventTokens namer.Tokens
 	// KVTransfer is the time to transfer the KV cache of one token within a data centre; 0 when unknown.
 	KVTransfer time.Duration
-	Deadline    time.Duration
+	Deadline   time.Duration
 }
 
 // RankView is a rank with its latency targets and its guaranteed share of the service's capacity.
--- a/matcher/route.go
+++ b/matcher/route.go
@@ -66,7 +66,7 @@
 	EventTokens       namer.Tokens // tokens per event of a stream
 	// KVTransfer is the time to transfer the KV cache of one token within a data centre.
 	KVTransfer time.Duration
-	Backups           bool         // the KV cache of a running request can be replicated as it grows
+	Backups    bool // the KV cache of a running request can be replicated as it grows
 }
 
 // Limits bounds the size and duration of requests.
