relayer: Set the watchdog's timer before it can fire

The timer's function uses the field that holds the timer; a process that is paused between the timer's start and the assignment would have ended with a nil pointer. Ruled out: a test (the window is a few instructions; a pause of the whole process there can't be provoked without a hook). Change: the timer is created without a time and then set. Conclusion: mended.

--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -110,7 +111,8 @@
 	}
 	wd.lastOwn.Store(int64(time.Since(processStart)))
 	if w.replace {
-		wd.timer = time.AfterFunc(wd.patience(), wd.check)
+		wd.timer = time.AfterFunc(math.MaxInt64, wd.check) // check uses the field
+		wd.timer.Reset(wd.patience())
 	}
 	return ctx, wd
 }
