--- a/assigner/planner.go
+++ b/assigner/planner.go
@@ -168,8 +168,7 @@
 	return changes
 }
 
-// persists reports whether more engines, or fewer, have been wanted for long enough. An idle fleet, and one
-// without any engine that generates, need not wait.
+// persists reports whether more engines, or fewer, have been wanted for long enough. An idle fleet need not wait.
 func (p *Planner) persists(now time.Time, more int) bool {
 	since := func(at *time.Time, wanted bool) time.Time {
 		switch {
