--- a/decider/event.go
+++ b/decider/event.go
@@ -90,6 +90,8 @@
 	Reason classifier.RetryReason
 	// NotRun is set when the endpoint is known not to have executed the failed attempt.
 	NotRun bool
+	// Ended is set when the endpoint's process is known to have ended during the failed attempt.
+	Ended bool
 	// RetryAfter is how long the endpoint wants no requests from this daemon; EventFailed.
 	RetryAfter time.Duration
 
