placer: Block a prompt part under which engines end

Ruled out: nothing new; the failing test needs no other cause. Change: quarantiner, a table of evidence about parts. The daemons send each other the endings with their suspects; the first daemon by rendezvous hash of a due part asks the others for successes and for the numbers of served and lost requests, and blocks the part at all if chance is ruled out. Requests with a blocked part are refused as prompt-blocked; after a minute one daemon sends one as a trial.

--- a/classifier/outcome.go
+++ b/classifier/outcome.go
@@ -41,6 +41,7 @@
 	OutcomeUnknown     Outcome = "outcome-unknown"
 	EndpointFailed     Outcome = "endpoint-failed"
 	EndpointRefused    Outcome = "endpoint-refused"
+	PromptBlocked      Outcome = "prompt-blocked"
 	StreamGone         Outcome = "stream-gone"
 	CallerDisconnected Outcome = "caller-gone"
 	Internal           Outcome = "internal"
@@ -73,6 +74,7 @@
 	OutcomeUnknown:     {http.StatusConflict, Unknown, false, "The call may have run. Ask again with the same key; it is never run twice."},
 	EndpointFailed:     {http.StatusBadGateway, Unknown, false, "The endpoint failed while it executed the request."},
 	EndpointRefused:    {http.StatusServiceUnavailable, NotRun, true, "Every endpoint that was asked refused the request before execution."},
+	PromptBlocked:      {http.StatusServiceUnavailable, NotRun, true, "Endpoints have ended under a part of the prompt; it is tried again after a while."},
 	StreamGone:         {http.StatusGone, Unknown, false, "No endpoint knows the stream any more."},
 	CallerDisconnected: {499, Unknown, false, "The caller closed the connection."},
 	Internal:           {http.StatusInternalServerError, Unknown, false, "The daemon failed."},
--- a/decider/event.go
+++ b/decider/event.go
@@ -130,7 +130,7 @@
 	ActionPrefill
 	// ActionSend sends Message to the Core of the daemon on host To.
 	ActionSend
-	// ActionReport announces a change in the assumed state of an endpoint or daemon.
+	// ActionReport announces a change in the assumed state of an endpoint, a daemon or a prompt part.
 	ActionReport
 )
 
@@ -161,10 +161,13 @@
 	// Basis holds the predictions behind the decision. An endpoint that sends nothing for no longer than
 	// Basis.Expected is not considered faulty.
 	Basis Basis
-	// Report is the state change that ActionReport announces about Endpoint or To; it is valid for
+	// Report is the state change that ActionReport announces about Endpoint, To or Part; it is valid for
 	// ReportDuration unless that is 0.
 	Report         Report
 	ReportDuration time.Duration
+	// Part is the prompt part of a report, and Ended the endpoints that ended while they ran requests with it.
+	Part  uint64
+	Ended []namer.Endpoint
 }
 
 // Basis holds the predictions and counts that explain a decision about a request.
@@ -177,7 +180,7 @@
 	Late         bool          // the first event is predicted to miss its target
 }
 
-// Report is a state change of an endpoint or daemon as seen by a Core.
+// Report is a state change of an endpoint, a daemon or a prompt part as seen by a Core.
 type Report string
 
 // The reports of a Core.
@@ -186,4 +189,8 @@
 	EndpointReturned   Report = "endpoint-returned" // readmitted after serving a request
 	DaemonUnresponsive Report = "daemon-silent"     // not asked for reservations for a while
 	DaemonResponsive   Report = "daemon-answers"    // answers reservation requests again
+
+	PromptPartSuspected Report = "prompt-part-suspected" // several endpoints have ended under it, without a success
+	PromptPartBlocked   Report = "prompt-part-blocked"   // requests with it are refused for a while
+	PromptPartCleared   Report = "prompt-part-cleared"   // a request with it has succeeded
 )
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -185,12 +186,19 @@
 	}
 }
 
-// logReport logs a report of the core about an endpoint or a daemon.
+// logReport logs a report of the core about an endpoint, a daemon or a prompt part.
 func (d *Dispatcher) logReport(a decider.Action) {
-	event := d.Log.Info().Dur("lasting-ms", a.ReportDuration)
-	if a.Endpoint != "" {
+	event := d.Log.Info()
+	if a.Report == decider.PromptPartBlocked {
+		event = d.Log.Warn()
+	}
+	event.Dur("lasting-ms", a.ReportDuration)
+	switch {
+	case a.Part != 0:
+		event.Str("part", strconv.FormatUint(a.Part, 16)).Int("endings", len(a.Ended)).Any("endpoints", a.Ended)
+	case a.Endpoint != "":
 		event.Str("endpoint", string(a.Endpoint)).Str("reason", string(a.Retry))
-	} else {
+	default:
 		event.Str("daemon", string(a.To))
 	}
 	event.Msg(string(a.Report))
--- a/placer/check.go
+++ b/placer/check.go
@@ -37,6 +37,11 @@
 			return err
 		}
 	}
+	if m.Quarantine != nil {
+		if err := m.Quarantine.check(); err != nil {
+			return err
+		}
+	}
 	for i := range m.Loads {
 		if err := m.Loads[i].check(); err != nil {
 			return err
--- a/placer/core.go
+++ b/placer/core.go
@@ -39,6 +39,7 @@
 	pendingReservations map[ReservationID]*request // awaiting a response
 	lastReservation     ReservationID
 	lastSummaryAt       [scopes]namer.Seconds
+	quarantine          quarantine
 }
 
 // pool holds the endpoints of one service.
@@ -86,6 +87,7 @@
 	reservation ReservationID
 	late        bool
 	started     bool // the first event has arrived
+	suspicion   suspicion
 }
 
 // stage is the state of a request.
@@ -222,4 +224,5 @@
 func (c *Core) removeRequest(q *request) {
 	delete(c.pendingReservations, q.reservation)
 	delete(c.requests, q.ID)
+	c.endTrial(q)
 }
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -33,6 +33,11 @@
 	// dropMessage selects the messages between daemons that are lost, if set.
 	dropMessage func(from, to namer.Host) bool
 
+	// crashingPart is a prompt part under which an engine ends soon after it has begun to generate.
+	crashingPart uint64
+	ends         []time.Duration // of engines under it
+	crashingRuns []time.Duration // when requests with it were sent to an engine
+
 	inspect func(to namer.Host, m placer.Message) // called for each message, if set
 	// onDispatch is called for each request that is sent to an engine, with its prefix and whether another engine
 	// has processed the prompt, if set.
@@ -229,6 +234,9 @@
 			if f.onDispatch != nil {
 				f.onDispatch(a, r.request.Parts[0].ID, r.outcome == "handled")
 			}
+			if f.crashes(r) {
+				f.crashingRuns = append(f.crashingRuns, f.now)
+			}
 			r.attempt, r.endpoint, r.prefill, r.backup, r.priority = a.Attempt, a.Endpoint, a.Kind == decider.ActionPrefill, a.Backup, a.Priority
 			prefilled := r.priority >= 0 && a.Kind == decider.ActionDispatch && f.takePrefilled(r)
 			f.after(networkDelay, func() { f.submit(r, a, prefilled) })
@@ -322,6 +330,10 @@
 	if r == nil || r.attempt != event.Attempt || r.endpoint != e.Name {
 		return
 	}
+	if event.Kind == modeler.JobStarted && !r.prefill && f.crashes(r) {
+		f.after(crashDelay, func() { f.crashAndRestart(e.Name) })
+	}
+	ended := e.Down()
 	f.after(networkDelay, func() {
 		if r.attempt != event.Attempt || r.endpoint != e.Name || r.host.down {
 			return
@@ -347,7 +359,10 @@
 			f.observe(r, decider.Event{Kind: decider.EventFinished, Attempt: r.attempt, Endpoint: r.endpoint})
 		case modeler.JobFailed:
 			r.deliveredTokens = event.Output
-			f.fail(r, r.attempt, classifier.RetryStreamBroken, r.prefill)
+			f.observe(r, decider.Event{
+				Kind: decider.EventFailed, Attempt: r.attempt, Endpoint: r.endpoint, Reason: classifier.RetryStreamBroken, NotRun: r.prefill,
+				OutputTokens: r.deliveredTokens / eventTokens, Ended: ended,
+			})
 		}
 	})
 }
@@ -382,12 +397,17 @@
 // arrive submits a request to a daemon.
 func (f *fleet) arrive(h *host, k workload) *trackedRequest {
 	session := uint64(f.random.IntN(k.sessions)) + uint64(k.prompt)<<20
+	return f.arriveWith(h, k, []decider.Part{{ID: session, Tokens: k.shared}})
+}
+
+// arriveWith submits a request with the given shared parts of its prompt.
+func (f *fleet) arriveWith(h *host, k workload, shared []decider.Part) *trackedRequest {
 	ownTokens := k.prompt - k.shared
 	r := &trackedRequest{host: h, output: k.output, arrived: f.now, request: decider.Request{
 		ID: namer.StreamID(fmt.Sprintf("r-%d", len(f.all))), Service: service, Idempotent: k.idempotent, PromptTokens: k.prompt,
 		MaxTokens: k.output, Deadline: f.time().Add(15 * time.Second), Target: k.target, TargetGap: 150 * time.Millisecond,
 		Priority: k.priority, Attempts: cmp.Or(k.attempts, 2),
-		Parts: []decider.Part{{ID: session, Tokens: k.shared}, {ID: uint64(len(f.all)) + 1<<50, Tokens: ownTokens}},
+		Parts: append(slices.Clone(shared), decider.Part{ID: uint64(len(f.all)) + 1<<50, Tokens: ownTokens}),
 	}}
 	if k.output < k.prompt {
 		r.request.Deadline = f.time().Add(2 * time.Second)
--- a/placer/message.go
+++ b/placer/message.go
@@ -13,6 +13,7 @@
 	ProgressUpdate  *ProgressUpdate
 	Loads           []Load // of engines whose ledgers the sender owns
 	Pause           *Pause
+	Quarantine      *Quarantine
 }
 
 // ReservationID identifies a reservation among those of one host.
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -38,6 +38,7 @@
 		c.recordStarted(at, q)
 		if q.endpoint != nil && e.Reason == "" {
 			c.recordEndpointSuccess(q.endpoint)
+			c.recordFinished(at, q)
 		} else if q.endpoint != nil {
 			c.recordEndpointFailure(at, q.endpoint, e.Reason)
 		}
@@ -58,6 +59,7 @@
 func (c *Core) recordStarted(now namer.Seconds, q *request) {
 	if q.stage == running && !q.started {
 		q.started = true
+		c.recordGenerating(now, q)
 		q.endpoint.recordPrefix(now, q.prefix(), true)
 		c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Prefilled})
 	}
@@ -85,8 +87,16 @@
 	}
 	q.tried = append(q.tried, q.endpoint)
 	started, backup := q.started, q.backup
+	abandon := c.recordPromptFailure(now, q, e)
 	q.recordFailure(e)
 	c.releaseEndpoint(now, q)
+	if abandon {
+		c.refuse(now, q, classifier.EndpointFailed, 0)
+		return
+	}
+	if c.refuseBlocked(now, q) {
+		return
+	}
 	retryPermitted := q.retryCharged || c.retryAllowed(now, q)
 	q.skipPrefill = q.prefillAttempted && !retryPermitted
 	switch {
@@ -166,7 +176,7 @@
 	}
 }
 
-// Tick handles reservation requests that have timed out, and broadcasts load summaries.
+// Tick handles reservation requests that have timed out, broadcasts load summaries and updates the quarantine.
 func (c *Core) Tick(now time.Time) []decider.Action {
 	c.ensureInit(now)
 	c.actions = c.actions[:0]
@@ -181,5 +191,6 @@
 		c.place(at, q)
 	}
 	c.broadcastLoads(at)
+	c.updateQuarantine(at)
 	return c.actions
 }
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -112,6 +112,8 @@
 		c.handleProgress(at, from, message.ProgressUpdate)
 	case message.Pause != nil:
 		c.pause(at, message.Pause)
+	case message.Quarantine != nil:
+		c.receiveQuarantine(at, from, message.Quarantine)
 	default:
 		for _, load := range message.Loads {
 			c.updateLoad(at, load)
--- a/placer/place.go
+++ b/placer/place.go
@@ -15,6 +15,9 @@
 // place selects an endpoint for a request. It dispatches the request, requests a reservation from the ledger's
 // owner, or refuses the request.
 func (c *Core) place(now namer.Seconds, q *request) {
+	if c.refuseBlocked(now, q) {
+		return
+	}
 	if q.pool.plain {
 		c.placePlain(now, q)
 		return
@@ -138,7 +141,7 @@
 		c.place(now, q)
 		return
 	}
-	if !found.endpoint.usable(now, q.Idempotent) || c.endpoints[found.endpoint.view.Name] != found.endpoint {
+	if !found.endpoint.usable(now, q.Idempotent) || c.endpoints[found.endpoint.view.Name] != found.endpoint || c.isBlocked(now, q) {
 		c.reportProgress(now, found.endpoint, r.ReservationID, ProgressUpdate{Progress: Ended})
 		c.place(now, q)
 		return
@@ -156,6 +159,7 @@
 	}
 	q.attempt++
 	q.endpoint, q.started = e, false
+	q.suspicion.dispatched(now)
 	if q.received || (found.prefill && q.prefillAttempted) {
 		c.chargeRetry(now, q)
 	}
@@ -199,6 +203,9 @@
 
 // dispatchDecode sends a request whose prompt has been processed to a decode engine.
 func (c *Core) dispatchDecode(now namer.Seconds, q *request) {
+	if c.refuseBlocked(now, q) {
+		return
+	}
 	e := c.pickDecodeEngine(now, q)
 	if e == nil {
 		c.refuse(now, q, classifier.NoEndpoint, noEndpointRetry)
@@ -213,6 +220,7 @@
 	work.Tokens, work.PrefixTokens = 0, 0 // the prompt has been processed by a prefill engine
 	c.reportProgress(now, e, q.reservation, ProgressUpdate{Progress: Placed, Work: work})
 	q.stage, q.endpoint, q.started = running, e, false
+	q.suspicion.dispatched(now)
 	e.running++
 	e.health.recordSent()
 	c.actions = append(c.actions, decider.Action{
--- /dev/null
+++ b/quarantiner/block.go
@@ -0,0 +1,164 @@
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+
+	"apricotspool/namer"
+)
+
+// Block is a blocked part.
+type Block struct {
+	Part    Part
+	Level   int // number of failed trials
+	Since   namer.Seconds
+	Until   namer.Seconds // then the part is tried again
+	Endings []Process     // that counted against it
+}
+
+// block is the state of a blocked part.
+type block struct {
+	since  namer.Seconds // of the last ending that it rests on
+	until  namer.Seconds
+	level  int
+	trying bool // a request with the part is on its way
+}
+
+const (
+	// A block becomes longer by blockGrowth with each failed trial, which costs an engine.
+	minBlock    namer.Seconds = 60
+	maxBlock    namer.Seconds = 1800
+	blockGrowth               = 4
+	// blockTTL is the time after which a blocked part is forgotten that no request tries.
+	blockTTL namer.Seconds = 3600
+	// MaxLevel limits the levels of blocks.
+	MaxLevel = 16
+)
+
+func blockLength(level int) namer.Seconds {
+	length := minBlock
+	for range level {
+		length = min(blockGrowth*length, maxBlock)
+	}
+	return length
+}
+
+// Block blocks a part that is due, or whose trial has failed.
+func (t *Table) Block(now namer.Seconds, part Part) Block {
+	r := t.record(now, part)
+	level := 0
+	if r.block != nil {
+		level = min(r.block.level+1, MaxLevel)
+	}
+	t.setBlock(now, r, block{since: now, until: now + blockLength(level), level: level})
+	return r.export()
+}
+
+func (t *Table) setBlock(now namer.Seconds, r *record, b block) {
+	if r.block == nil {
+		t.dropBlocks(now)
+		t.blocked++
+	}
+	r.block = &b
+}
+
+// dropBlocks makes room for another block.
+func (t *Table) dropBlocks(now namer.Seconds) {
+	var oldest *record
+	for _, r := range t.records {
+		if r.block == nil {
+			continue
+		}
+		if now > r.block.until+blockTTL {
+			t.forget(r)
+		} else if oldest == nil || r.usedAt < oldest.usedAt {
+			oldest = r
+		}
+	}
+	if t.blocked >= MaxBlocked {
+		t.forget(oldest)
+	}
+}
+
+// forget unblocks a part and drops what speaks against it.
+func (t *Table) forget(r *record) {
+	t.unblock(r)
+	r.endings, r.present = nil, nil
+}
+
+func (t *Table) unblock(r *record) {
+	if r.block != nil {
+		r.block = nil
+		t.blocked--
+	}
+}
+
+// Blocking reports whether any part is blocked.
+func (t *Table) Blocking() bool { return t.blocked > 0 }
+
+// Blocked reports whether a part is blocked, and returns for how long; 0 if a trial is due.
+func (t *Table) Blocked(now namer.Seconds, part Part) (namer.Seconds, bool) {
+	r := t.records[part]
+	if r == nil || r.block == nil {
+		return 0, false
+	}
+	r.usedAt = now
+	return max(0, r.block.until-now), true
+}
+
+// BeginTrial reports whether a request with a blocked part may be sent as a trial: one at a time, the block's
+// length and the delay having passed. The trial ends with a success, Block or EndTrial.
+func (t *Table) BeginTrial(now namer.Seconds, part Part, delay namer.Seconds) bool {
+	r := t.records[part]
+	if r == nil || r.block == nil || r.block.trying || now < r.block.until+delay {
+		return false
+	}
+	r.block.trying = true
+	return true
+}
+
+// EndTrial ends a trial that had no result.
+func (t *Table) EndTrial(part Part) {
+	if r := t.records[part]; r != nil && r.block != nil {
+		r.block.trying = false
+	}
+}
+
+// Blocks returns the blocked parts in the order of their IDs.
+func (t *Table) Blocks() []Block {
+	var blocks []Block
+	for _, r := range t.records {
+		if r.block != nil {
+			blocks = append(blocks, r.export())
+		}
+	}
+	slices.SortFunc(blocks, func(a, b Block) int { return cmp.Compare(a.Part, b.Part) })
+	return blocks
+}
+
+func (r *record) export() Block {
+	b := Block{Part: r.part, Level: r.block.level, Since: r.block.since, Until: r.block.until}
+	for _, c := range r.endings {
+		b.Endings = append(b.Endings, c.process)
+	}
+	return b
+}
+
+// Merge applies a block that another daemon has decided, or an earlier run of this one. It reports whether the
+// part was not blocked before, or not for as long.
+func (t *Table) Merge(now namer.Seconds, b Block) bool {
+	r := t.record(now, b.Part)
+	if b.Since <= r.soundAt || now > b.Until+blockTTL {
+		return false
+	}
+	for _, p := range b.Endings {
+		r.meet(p)
+		r.add(counted{process: p, at: b.Since})
+	}
+	if r.block != nil && (r.block.level > b.Level || (r.block.level == b.Level && r.block.until >= b.Until-settleTime)) {
+		return false
+	}
+	level := min(max(b.Level, 0), MaxLevel)
+	t.setBlock(now, r, block{since: b.Since, until: min(b.Until, now+blockLength(level)), level: level})
+	return true
+}
--- /dev/null
+++ b/quarantiner/table.go
@@ -0,0 +1,421 @@
+// Package quarantiner finds the part of prompts under which engines end as soon as they generate a response,
+// and keeps the list of blocked parts. It does no I/O and reads no clock: times are passed in. A Table is owned
+// by one goroutine.
+//
+// All parts of a request are suspects when its engine ends. A part is told from the others by the endings that
+// it was present at, of several engines and under different requests, without a success in between.
+package quarantiner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"apricotspool/namer"
+)
+
+// Part identifies a part of prompts.
+type Part uint64
+
+// Request identifies a request by its own part of the prompt, so that its repetitions are the same request.
+type Request uint64
+
+// Process is one run of an engine.
+type Process struct {
+	_           struct{} `cbor:",toarray"`
+	Endpoint    namer.Endpoint
+	Incarnation namer.Incarnation
+}
+
+// Suspect is a request that may have ended an engine.
+type Suspect struct {
+	Request      Request
+	DispatchedAt namer.Seconds // to the engine
+	Parts        []Part        // of the prompt that are shared with other requests, in order
+}
+
+// Ending is the end of an engine's process.
+type Ending struct {
+	Process  Process
+	Service  namer.Service
+	At       namer.Seconds // when it became known
+	Suspects []Suspect
+}
+
+// Never is before all times.
+var Never = namer.Seconds(math.Inf(-1))
+
+const (
+	// minEndings is the number of counted endings that block a part. It rises to maxRequired while sound parts
+	// come close to it by coincidence.
+	minEndings  = 3
+	maxRequired = 5
+	// maxCounted and maxPresent limit the endings that are kept of a part.
+	maxCounted = 16
+	maxPresent = 32
+	// maxRivals is the number of other parts with as much against them from which on none is blocked: engines end
+	// for another reason.
+	maxRivals = 3
+	// settleTime is the time in which engines that fail together are noticed, and in which all daemons have
+	// reported one ending.
+	settleTime namer.Seconds = 0.1
+	// dueTime is the time after an ending in which a part can be blocked. Later, the successes of other requests
+	// say little about the time of the endings.
+	dueTime namer.Seconds = 10
+	// evidenceTTL is the time without another ending after which those of a part are forgotten.
+	evidenceTTL namer.Seconds = 600
+	// MaxTracked and MaxBlocked limit the table. Parts over the limit are dropped, the least recently used first.
+	MaxTracked = 4096
+	MaxBlocked = 256
+	// evictionShare is the fraction of the table that is dropped at once when it is full.
+	evictionShare = 1.0 / 8
+)
+
+// Table holds the evidence against parts, and the blocked ones. The zero value is an empty table.
+type Table struct {
+	records map[Part]*record
+	blocked int // number of blocked parts
+	// candidates holds the parts that may be due.
+	candidates map[Part]*record
+	tallies    map[namer.Service]*tally
+	// coincidences holds when a part with so many endings last turned out to be sound.
+	coincidences [maxCounted + 1]namer.Seconds
+}
+
+// record is the evidence about a part.
+type record struct {
+	part         Part
+	service      namer.Service // of the last ending
+	depth        int           // position in the prompt
+	endings      []counted     // since the last success
+	present      []Process     // all that have ended with it among the suspects since
+	soundAt      namer.Seconds // last known success
+	usedAt       namer.Seconds
+	watchedUntil namer.Seconds // the next success is reported
+	block        *block
+}
+
+// counted is an ending that counts against a part.
+type counted struct {
+	process Process
+	request Request
+	at      namer.Seconds
+}
+
+// Cleared is a part that has turned out to be sound.
+type Cleared struct {
+	Part    Part
+	At      namer.Seconds // of the success
+	Endings int           // that were counted against it
+	Blocked bool
+}
+
+func (t *Table) init() {
+	if t.records == nil {
+		t.records = map[Part]*record{}
+		t.candidates = map[Part]*record{}
+		t.tallies = map[namer.Service]*tally{}
+		for i := range t.coincidences {
+			t.coincidences[i] = Never
+		}
+	}
+}
+
+// Len returns the number of parts in the table.
+func (t *Table) Len() int { return len(t.records) }
+
+// record returns the record of a part, and adds it if necessary.
+func (t *Table) record(now namer.Seconds, part Part) *record {
+	t.init()
+	r := t.records[part]
+	if r == nil {
+		if len(t.records) >= MaxTracked {
+			t.evict()
+		}
+		r = &record{part: part, soundAt: Never, watchedUntil: Never}
+		t.records[part] = r
+	}
+	r.usedAt = now
+	return r
+}
+
+// evict drops the least recently used parts, blocked ones after all others.
+func (t *Table) evict() {
+	all := make([]*record, 0, len(t.records))
+	for _, r := range t.records {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *record) int {
+		if (a.block == nil) != (b.block == nil) {
+			if a.block == nil {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(a.usedAt, b.usedAt)
+	})
+	for _, r := range all[:int(evictionShare*MaxTracked)] {
+		t.unblock(r)
+		delete(t.records, r.part)
+		delete(t.candidates, r.part)
+	}
+}
+
+// RecordEnding counts an ending against its suspects. Several daemons may report the same ending, each with its own
+// suspects.
+func (t *Table) RecordEnding(now namer.Seconds, e Ending) {
+	t.init()
+	if t.blocked > 0 && t.explain(now, e) {
+		return
+	}
+	for _, s := range e.Suspects {
+		for depth, part := range s.Parts {
+			r := t.record(now, part)
+			r.depth, r.service = depth, e.Service
+			if r.count(e, s) && len(r.endings) > 1 {
+				t.candidates[part] = r
+			}
+		}
+	}
+}
+
+// explain counts an ending against a blocked part, if there is one among its suspects. It is no evidence
+// against the others then.
+func (t *Table) explain(now namer.Seconds, e Ending) bool {
+	explained := false
+	for _, s := range e.Suspects {
+		for _, part := range s.Parts {
+			if r := t.records[part]; r != nil && r.block != nil {
+				r.usedAt = now
+				r.meet(e.Process)
+				r.add(counted{e.Process, s.Request, e.At})
+				explained = true
+			}
+		}
+	}
+	return explained
+}
+
+// count counts an ending against a part, unless it may have the same cause as one that is counted already.
+func (r *record) count(e Ending, s Suspect) bool {
+	if e.At <= r.soundAt {
+		return false
+	}
+	if n := len(r.endings); n > 0 && e.At-r.endings[n-1].at > evidenceTTL {
+		r.endings, r.present = nil, nil
+	}
+	r.meet(e.Process)
+	if n := len(r.endings); n > 0 {
+		last := r.endings[n-1].at
+		if s.DispatchedAt <= last+settleTime {
+			return false
+		}
+		for _, c := range r.endings {
+			if c.request == s.Request {
+				return false
+			}
+		}
+	}
+	return r.add(counted{e.Process, s.Request, e.At})
+}
+
+// add adds an ending unless the process is counted already. It keeps the last ones.
+func (r *record) add(c counted) bool {
+	if r.counts(c.process) {
+		return false
+	}
+	if len(r.endings) >= maxCounted {
+		r.endings = slices.Delete(r.endings, 0, 1)
+	}
+	r.endings = append(r.endings, c)
+	return true
+}
+
+func (r *record) counts(p Process) bool {
+	return slices.ContainsFunc(r.endings, func(c counted) bool { return c.process == p })
+}
+
+// meet records that a part was among the suspects of an ending.
+func (r *record) meet(p Process) {
+	if slices.Contains(r.present, p) {
+		return
+	}
+	if len(r.present) >= maxPresent {
+		r.present = slices.Delete(r.present, 0, 1)
+	}
+	r.present = append(r.present, p)
+}
+
+// Endings returns the processes whose endings count against a part.
+func (t *Table) Endings(part Part) []Process {
+	r := t.records[part]
+	if r == nil {
+		return nil
+	}
+	var processes []Process
+	for _, c := range r.endings {
+		processes = append(processes, c.process)
+	}
+	return processes
+}
+
+// Suspicion summarizes the endings that count against a part.
+type Suspicion struct {
+	Service     namer.Service
+	Endings     int
+	First, Last namer.Seconds // when they became known
+}
+
+// Suspicion returns what counts against a part.
+func (t *Table) Suspicion(part Part) Suspicion {
+	r := t.records[part]
+	if r == nil || len(r.endings) == 0 {
+		return Suspicion{First: Never, Last: Never}
+	}
+	return Suspicion{r.service, len(r.endings), r.endings[0].at, r.endings[len(r.endings)-1].at}
+}
+
+// Implicated reports whether the ending of a process is at least the second one that counts against one of the
+// parts.
+func (t *Table) Implicated(p Process, parts []Part) bool {
+	for _, part := range parts {
+		if r := t.records[part]; r != nil && len(r.endings) > 1 && r.counts(p) {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordSuccess clears the parts of a request that has succeeded. It returns those that other daemons may
+// suspect.
+func (t *Table) RecordSuccess(now namer.Seconds, service namer.Service, parts []Part) []Cleared {
+	t.tally(service).add(now, 1, 0)
+	if len(t.records) == 0 {
+		return nil
+	}
+	var cleared []Cleared
+	for _, part := range parts {
+		r := t.records[part]
+		if r == nil {
+			continue
+		}
+		report := len(r.endings) > 1 || r.block != nil || now < r.watchedUntil
+		c := t.clear(r, now, len(r.endings))
+		if report {
+			r.watchedUntil = Never
+			cleared = append(cleared, c)
+		}
+	}
+	return cleared
+}
+
+// Clear applies a success that another daemon has seen.
+func (t *Table) Clear(now namer.Seconds, c Cleared) Cleared {
+	r := t.record(now, c.Part)
+	if c.At <= r.soundAt {
+		return Cleared{Part: c.Part, At: c.At}
+	}
+	return t.clear(r, c.At, max(c.Endings, len(r.endings)))
+}
+
+// clear drops what speaks against a part up to the time of a success.
+func (t *Table) clear(r *record, at namer.Seconds, endings int) Cleared {
+	c := Cleared{Part: r.part, At: at, Endings: endings}
+	if endings > 1 {
+		level := min(endings, maxCounted)
+		t.coincidences[level] = max(t.coincidences[level], at)
+	}
+	r.soundAt = max(r.soundAt, at)
+	if r.endings = slices.DeleteFunc(r.endings, func(c counted) bool { return c.at <= at }); len(r.endings) == 0 {
+		r.present = nil
+	}
+	if r.block != nil && r.block.since <= at {
+		c.Blocked = true
+		t.unblock(r)
+	}
+	return c
+}
+
+// Watch makes the next success of a part be reported until a time. It returns the last known success.
+func (t *Table) Watch(now namer.Seconds, part Part, until namer.Seconds) namer.Seconds {
+	r := t.record(now, part)
+	r.watchedUntil = until
+	return r.soundAt
+}
+
+// coincidence returns the greatest number of endings that a part had which turned out to be sound.
+func (t *Table) coincidence(now namer.Seconds) int {
+	greatest := 0
+	for endings, at := range t.coincidences {
+		if now-at < evidenceTTL {
+			greatest = endings
+		}
+	}
+	return greatest
+}
+
+// required returns the number of endings that block a part. Where sound parts have had as many by coincidence,
+// one more than those isn't enough.
+func (t *Table) required(now namer.Seconds) int {
+	return min(max(minEndings, t.coincidence(now)+2), maxRequired)
+}
+
+// Due returns the parts that are suspected enough to be blocked, unless a blocked part or an earlier one in the list
+// was present at all their endings. Those with more endings go first, and then the deepest in the prompt, which
+// the fewest requests share.
+func (t *Table) Due(now namer.Seconds) []Part {
+	required := t.required(now)
+	var due []*record
+	for part, r := range t.candidates {
+		if r.block != nil || len(r.endings) < 2 {
+			delete(t.candidates, part)
+		} else if last := r.endings[len(r.endings)-1].at; len(r.endings) >= required && now >= last+settleTime && now < last+dueTime {
+			due = append(due, r)
+		}
+	}
+	if len(due) == 0 {
+		return nil
+	}
+	slices.SortFunc(due, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(len(b.endings), len(a.endings)), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
+	})
+	var blocked, chosen []*record
+	for _, r := range t.records {
+		if r.block != nil {
+			blocked = append(blocked, r)
+		}
+	}
+	var parts []Part
+	for _, r := range due {
+		if slices.ContainsFunc(blocked, r.explainedBy) {
+			delete(t.candidates, r.part) // until its next ending
+		} else if !slices.ContainsFunc(chosen, r.explainedBy) && !t.ambiguous(r) {
+			chosen = append(chosen, r)
+			parts = append(parts, r.part)
+		}
+	}
+	return parts
+}
+
+// explainedBy reports whether another part was present at all endings of a part.
+func (r *record) explainedBy(other *record) bool {
+	for _, p := range r.present {
+		if !slices.Contains(other.present, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// ambiguous reports whether several other parts have as much against them, at other endings.
+func (t *Table) ambiguous(r *record) bool {
+	rivals := 0
+	for _, other := range t.candidates {
+		if other != r && other.block == nil && len(other.endings) >= len(r.endings)-1 && !other.explainedBy(r) {
+			if rivals++; rivals >= maxRivals {
+				return true
+			}
+		}
+	}
+	return false
+}
