quarantiner: Rule out chance by the share of lost requests; tests

Ruled out: a threshold that rises with coincidences seen, and a rule against several parts suspected alike. Change: the decider compares the endings with the share of the service's requests that were lost since the first, times the parts that were suspects since. TestCrashingPartIsBlocked: 5, 6, 10, 4 and (30 % of messages lost) 5 ends.

--- a/placer/check_test.go
+++ b/placer/check_test.go
@@ -12,6 +12,7 @@
 
 	"apricotspool/namer"
 	"apricotspool/placer"
+	"apricotspool/quarantiner"
 )
 
 func init() { flag.Set("rapid.seed", "1") } // -rapid.seed on the command line overrides it
@@ -35,11 +36,32 @@
 				InProgress: seconds.Draw(t, "in progress"), Generating: rapid.Int().Draw(t, "generating"), Inflow: number.Draw(t, "inflow"),
 			}
 		})
+		part := rapid.Map(rapid.Uint64Range(0, 3), func(x uint64) quarantiner.Part { return quarantiner.Part(x) })
+		process := rapid.Custom(func(t *rapid.T) quarantiner.Process { return quarantiner.Process{Endpoint: endpoint.Draw(t, "ended")} })
+		ending := rapid.Custom(func(t *rapid.T) placer.EngineEnding {
+			suspect := placer.EndingSuspect{Age: seconds.Draw(t, "age"), Parts: rapid.SliceOfN(part, 0, 3).Draw(t, "parts")}
+			return placer.EngineEnding{
+				Process: process.Draw(t, "process"), Service: rapid.SampledFrom([]namer.Service{service, "none"}).Draw(t, "service"),
+				Age: seconds.Draw(t, "age"), Suspects: []placer.EndingSuspect{suspect},
+			}
+		})
+		quarantine := rapid.Custom(func(t *rapid.T) *placer.Quarantine {
+			return &placer.Quarantine{
+				Endings: rapid.SliceOfN(ending, 0, 70).Draw(t, "endings"),
+				Asks:    []placer.Ask{{Part: part.Draw(t, "part"), Age: seconds.Draw(t, "age"), Service: service}},
+				Clears:  []placer.PartClear{{Part: part.Draw(t, "part"), Age: seconds.Draw(t, "age"), Endings: rapid.Int().Draw(t, "endings")}},
+				Blocks: []placer.PartBlock{{
+					Part: part.Draw(t, "part"), Level: rapid.IntRange(-2, 40).Draw(t, "level"), Age: seconds.Draw(t, "age"), Left: seconds.Draw(t, "left"),
+					Endings: rapid.SliceOfN(process, 0, 40).Draw(t, "ended"),
+				}},
+				Answers: []placer.Answer{{Part: part.Draw(t, "part"), Served: rapid.Int().Draw(t, "served"), Lost: rapid.Int().Draw(t, "lost")}},
+			}
+		})
 		var messages []placer.Message
 		for range rapid.IntRange(1, 20).Draw(t, "messages") {
 			m := placer.Message{Loads: rapid.SliceOfN(load, 0, 3).Draw(t, "loads")}
 			id := placer.ReservationID(rapid.Uint32Range(0, 3).Draw(t, "reservation"))
-			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
 			case 0:
 				m.ReserveRequest = &placer.ReserveRequest{ReservationID: id, Endpoint: endpoint.Draw(t, "endpoint"), Work: work.Draw(t, "work"), Budget: seconds.Draw(t, "budget")}
 			case 1:
@@ -50,6 +72,8 @@
 				}
 			case 3:
 				m.Pause = &placer.Pause{Endpoint: endpoint.Draw(t, "endpoint"), Length: seconds.Draw(t, "length")}
+			case 4:
+				m.Quarantine = quarantine.Draw(t, "quarantine")
 			}
 			messages = append(messages, m)
 		}
--- a/placer/quarantine_test.go
+++ b/placer/quarantine_test.go
@@ -6,11 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/namer"
+	"apricotspool/placer"
 )
 
 const (
@@ -83,14 +85,27 @@
 // Guards against requests that end one engine after the other because no daemon sees that their prompts have a
 // part in common, and against refusing sound requests that share the caller and the first part.
 func TestCrashingPartIsBlocked(t *testing.T) {
-	for name, rate := range map[string][2]float64{"few": {8, 1}, "many": {300, 1}, "burst": {300, 2}, "rare": {40, 0.3}} {
+	for name, c := range map[string]struct {
+		sound, crashing float64 // requests per second
+		decode          int     // engines
+		lost            float64 // share of the messages
+	}{"few": {8, 1, 5, 0}, "many": {300, 1, 5, 0}, "burst": {300, 5, 12, 0}, "rare": {40, 0.3, 5, 0}, "lossy": {100, 1, 8, 0.3}} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFleet(t, 6, 3, 5)
-			f.generate(answer, rate[0], 40*time.Second, 0)
+			f := newFleet(t, 6, 3, c.decode)
+			f.inspect = func(_ namer.Host, m placer.Message) {
+				is.NoErr(m.Check())
+				encoded, err := cbor.Marshal(m)
+				is.NoErr(err)
+				is.True(m.Quarantine == nil || len(encoded) <= 1300) // with the envelope, a datagram has 1400 bytes
+			}
+			if c.lost > 0 {
+				f.dropMessage = func(_, _ namer.Host) bool { return f.random.Float64() < c.lost }
+			}
+			f.generate(answer, c.sound, 40*time.Second, 0)
 			f.run(5 * time.Second)
 			f.crashingPart = crashingPart
-			f.generate(answer, rate[1], 35*time.Second, crashingPart)
+			f.generate(answer, c.crashing, 35*time.Second, crashingPart)
 			f.run(50 * time.Second)
 			is.True(len(f.ends) >= 3)
 			late := 0
@@ -115,6 +130,38 @@
 	}
 }
 
+// Guards against a blocked part that is tried by every daemon, or never again.
+func TestOneDaemonTriesBlockedPart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, 3, 5)
+	f.crashingPart = crashingPart
+	f.generate(answer, 20, 340*time.Second, 0)
+	f.generate(answer, 2, 340*time.Second, crashingPart)
+	f.run(30 * time.Second)
+	is.Equal(f.reported(decider.PromptPartBlocked), map[uint64]int{crashingPart: len(f.hosts)})
+	f.generate(answer, 100, 90*time.Second, crashingPart)
+	f.run(120 * time.Second)
+	var refused *trackedRequest
+	tried := 0
+	for _, r := range f.all {
+		if f.crashes(r) && r.arrived > 30*time.Second {
+			refused = r
+			if r.attempt > 0 {
+				tried++
+			}
+		}
+	}
+	is.Equal(tried, 1)
+	is.Equal(refused.outcome, classifier.PromptBlocked)
+	is.True(refused.retryAfter > time.Minute)
+	f.crashingPart = 0 // engines no longer end under it
+	f.run(339 * time.Second)
+	is.Equal(f.reported(decider.PromptPartCleared)[crashingPart], len(f.hosts))
+	last := f.arriveWith(f.hosts[0], answer, []decider.Part{{ID: firstPart, Tokens: 400}, {ID: crashingPart, Tokens: 200}})
+	f.run(345 * time.Second)
+	is.Equal(last.outcome, classifier.Served)
+}
+
 // Guards against blaming a sound part on a day on which engines end for other reasons: one after the other, all at
 // once, or so often that most requests are lost.
 func TestOrdinaryCrashesBlockNoPart(t *testing.T) {
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -46,16 +46,11 @@
 var Never = namer.Seconds(math.Inf(-1))
 
 const (
-	// minEndings is the number of counted endings that block a part. It rises to maxRequired while sound parts
-	// come close to it by coincidence.
-	minEndings  = 3
-	maxRequired = 5
+	// minEndings is the smallest number of counted endings that blocks a part.
+	minEndings = 3
 	// maxCounted and maxPresent limit the endings that are kept of a part.
 	maxCounted = 16
 	maxPresent = 32
-	// maxRivals is the number of other parts with as much against them from which on none is blocked: engines end
-	// for another reason.
-	maxRivals = 3
 	// settleTime is the time in which engines that fail together are noticed, and in which all daemons have
 	// reported one ending.
 	settleTime namer.Seconds = 0.1
@@ -78,8 +73,6 @@
 	// candidates holds the parts that may be due.
 	candidates map[Part]*record
 	tallies    map[namer.Service]*tally
-	// coincidences holds when a part with so many endings last turned out to be sound.
-	coincidences [maxCounted + 1]namer.Seconds
 }
 
 // record is the evidence about a part.
@@ -115,9 +108,6 @@
 		t.records = map[Part]*record{}
 		t.candidates = map[Part]*record{}
 		t.tallies = map[namer.Service]*tally{}
-		for i := range t.coincidences {
-			t.coincidences[i] = Never
-		}
 	}
 }
 
@@ -172,7 +162,7 @@
 		for depth, part := range s.Parts {
 			r := t.record(now, part)
 			r.depth, r.service = depth, e.Service
-			if r.count(e, s) && len(r.endings) > 1 {
+			if r.count(e, s) && len(r.endings) >= minEndings {
 				t.candidates[part] = r
 			}
 		}
@@ -321,10 +311,6 @@
 // clear drops what speaks against a part up to the time of a success.
 func (t *Table) clear(r *record, at namer.Seconds, endings int) Cleared {
 	c := Cleared{Part: r.part, At: at, Endings: endings}
-	if endings > 1 {
-		level := min(endings, maxCounted)
-		t.coincidences[level] = max(t.coincidences[level], at)
-	}
 	r.soundAt = max(r.soundAt, at)
 	if r.endings = slices.DeleteFunc(r.endings, func(c counted) bool { return c.at <= at }); len(r.endings) == 0 {
 		r.present = nil
@@ -343,33 +329,15 @@
 	return r.soundAt
 }
 
-// coincidence returns the greatest number of endings that a part had which turned out to be sound.
-func (t *Table) coincidence(now namer.Seconds) int {
-	greatest := 0
-	for endings, at := range t.coincidences {
-		if now-at < evidenceTTL {
-			greatest = endings
-		}
-	}
-	return greatest
-}
-
-// required returns the number of endings that block a part. Where sound parts have had as many by coincidence,
-// one more than those isn't enough.
-func (t *Table) required(now namer.Seconds) int {
-	return min(max(minEndings, t.coincidence(now)+2), maxRequired)
-}
-
 // Due returns the parts that are suspected enough to be blocked, unless a blocked part or an earlier one in the list
 // was present at all their endings. Those with more endings go first, and then the deepest in the prompt, which
 // the fewest requests share.
 func (t *Table) Due(now namer.Seconds) []Part {
-	required := t.required(now)
 	var due []*record
 	for part, r := range t.candidates {
-		if r.block != nil || len(r.endings) < 2 {
+		if r.block != nil || len(r.endings) < minEndings {
 			delete(t.candidates, part)
-		} else if last := r.endings[len(r.endings)-1].at; len(r.endings) >= required && now >= last+settleTime && now < last+dueTime {
+		} else if last := r.endings[len(r.endings)-1].at; len(r.endings) >= minEndings && now >= last+settleTime && now < last+dueTime {
 			due = append(due, r)
 		}
 	}
@@ -389,7 +357,7 @@
 	for _, r := range due {
 		if slices.ContainsFunc(blocked, r.explainedBy) {
 			delete(t.candidates, r.part) // until its next ending
-		} else if !slices.ContainsFunc(chosen, r.explainedBy) && !t.ambiguous(r) {
+		} else if !slices.ContainsFunc(chosen, r.explainedBy) {
 			chosen = append(chosen, r)
 			parts = append(parts, r.part)
 		}
@@ -406,16 +374,3 @@
 	}
 	return true
 }
-
-// ambiguous reports whether several other parts have as much against them, at other endings.
-func (t *Table) ambiguous(r *record) bool {
-	rivals := 0
-	for _, other := range t.candidates {
-		if other != r && other.block == nil && len(other.endings) >= len(r.endings)-1 && !other.explainedBy(r) {
-			if rivals++; rivals >= maxRivals {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/quarantiner/tally.go
+++ b/quarantiner/tally.go
@@ -84,18 +84,23 @@
 	return y.coarse.since(slotOf(since, coarseSlot))
 }
 
-// significance is the probability with which a sound part may have its endings by chance.
-const significance = 5e-4
+// significance is the probability with which any sound part may have the endings of the one in question by chance.
+const significance = 2e-3
 
 // Convicts reports whether a part's endings are no coincidence, given how many requests of the service have
 // succeeded since the first one, and how many were lost.
 func (t *Table) Convicts(part Part, served, lost int) bool {
 	r := t.records[part]
-	if r == nil {
+	if r == nil || len(r.endings) == 0 {
 		return false
 	}
-	endings := len(r.endings)
-	others := max(0, lost-endings)
-	chance := float64(others+1) / float64(others+served+2)
-	return math.Pow(chance, float64(endings)) <= significance
+	suspects := 0 // since the first ending
+	for _, other := range t.records {
+		if other.usedAt >= r.endings[0].at {
+			suspects++
+		}
+	}
+	others := max(0, lost-len(r.endings))
+	chance := float64(others+1) / float64(others+served+2) // of one request to be lost
+	return float64(suspects)*math.Pow(chance, float64(len(r.endings))) <= significance
 }
