announcer: Keep blocked prompt parts in the entries of two daemons

Cause: a block is lost when all daemons are killed together, and doesn't reach one whose peers it can't reach. Ruled out: the table in an object of its own, which needs another reader. Change: the two first daemons by rendezvous hash of a part keep it in their entry (field blocked-parts); every daemon merges those of all entries. A restarted daemon keeps the parts of its old entry until its core has read it. One write per change and writer. Figures: TestBlockedPartsOutliveRestart without keeping the old entry's: '<nil> != [{ 1 ...}]'; TestBlockOutlivesDaemons without the merge: '12 != 6' ends. Both pass with it. The gateway's loop that joins the two (assembler/blockedparts.go) has no test of its own. Conclusion: blocks outlive the daemons that have decided them.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -7,12 +7,14 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"apricotspool/decider"
 	"apricotspool/follower"
 	"apricotspool/namer"
 	"apricotspool/storer"
@@ -37,6 +39,8 @@
 	DataCentre      namer.DataCentre `json:"data-centre"`
 	PeerAddress     netip.AddrPort   `json:"peers"`     // address for calls between daemons
 	DatagramAddress netip.AddrPort   `json:"datagrams"` // UDP address for short messages
+	// BlockedParts are the prompt parts that the daemon keeps for all.
+	BlockedParts []decider.BlockedPart `json:"blocked-parts,omitempty"`
 }
 
 // Announcer maintains the daemon's own entry and reads the entries of the others. Set the exported
@@ -50,16 +54,20 @@
 
 	once     sync.Once
 	done     chan struct{}
+	outdated chan struct{} // signals that the entry differs from the one that was written
 	follower *follower.Follower
+	written  []byte // the entry that was written last; used by announce only
 
 	mu      sync.Mutex
 	listing *follower.Listing // the listing that members was decoded from
 	members []Member
+	blocked []decider.BlockedPart // nil until the daemon has set them; then those of the old entry are kept
 }
 
 func (a *Announcer) init() {
 	a.once.Do(func() {
 		a.done = make(chan struct{})
+		a.outdated = make(chan struct{}, 1)
 		a.follower = &follower.Follower{
 			Source: a.Reader, Prefix: Prefix, StalenessBound: stalenessBound, Readers: a.Readers, DisableWatch: true, Log: a.Log,
 		}
@@ -114,15 +122,36 @@
 	return a.follower.Run(ctx)
 }
 
-// announce writes the daemon's own entry, and writes it again whenever it is missing: a store that was
+// SetBlockedParts replaces the prompt parts in the daemon's own entry. The parts of an entry from an earlier start are
+// kept until then.
+func (a *Announcer) SetBlockedParts(parts []decider.BlockedPart) {
+	a.init()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.blocked != nil && slices.Equal(a.blocked, parts) {
+		return
+	}
+	a.blocked = append([]decider.BlockedPart{}, parts...)
+	select {
+	case a.outdated <- struct{}{}:
+	default: // signalled already
+	}
+}
+
+// announce writes the daemon's own entry, and writes it again when it changes or is missing: a store that was
 // restored from a backup may have lost it. An unchanged entry from an earlier start is kept.
 func (a *Announcer) announce(ctx context.Context) {
 	var written storer.Version // 0 until the entry has been written
+	outdated := true
 	for ctx.Err() == nil {
 		changed := a.follower.Changed()
-		if written == 0 || a.lost(written) {
-			version, err := a.writeEntry(ctx)
+		if a.lost(written) {
+			written, outdated = 0, true
+		}
+		if outdated {
+			version, err := a.writeEntry(ctx, written)
 			if err != nil {
+				written = 0 // the entry is read before the next attempt
 				a.Log.Warn().Err(err).Msg("announcement-failed")
 				select {
 				case <-ctx.Done():
@@ -130,11 +159,13 @@
 				}
 				continue
 			}
-			written = version
+			written, outdated = version, false
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-a.outdated:
+			outdated = true
 		}
 	}
 }
@@ -142,7 +173,7 @@
 // lost reports whether a listing of a later era than the entry doesn't have it.
 func (a *Announcer) lost(written storer.Version) bool {
 	listing := a.follower.Listing()
-	if listing == nil || listing.Version.Era() <= written.Era() {
+	if written == 0 || listing == nil || listing.Version.Era() <= written.Era() {
 		return false
 	}
 	_, present := listing.Objects[a.key()]
@@ -151,24 +182,50 @@
 
 func (a *Announcer) key() string { return Prefix + string(a.Self.Host) }
 
-// writeEntry writes the entry and returns its version.
-func (a *Announcer) writeEntry(ctx context.Context) (storer.Version, error) {
-	value, err := json.Marshal(a.Self)
-	if err != nil {
-		return 0, errors.Wrap(err, "encode member")
+// writeEntry writes the entry over the version that was written last, unless it is the same, and returns the new
+// version.
+func (a *Announcer) writeEntry(ctx context.Context, last storer.Version) (storer.Version, error) {
+	value, err := a.encodeEntry(nil)
+	if err != nil || (last != 0 && string(value) == string(a.written)) {
+		return last, err
 	}
-	written, err := a.Store.Put(ctx, a.key(), value, 0)
-	if !errors.Is(err, storer.ErrConflict) {
-		return written.Version, err
+	written, err := a.Store.Put(ctx, a.key(), value, last)
+	if errors.Is(err, storer.ErrConflict) {
+		var old storer.Object
+		if old, err = a.Store.Get(ctx, a.key()); err != nil {
+			return 0, err
+		}
+		if value, err = a.encodeEntry(old.Value); err != nil {
+			return 0, err
+		}
+		if written = old; string(old.Value) != string(value) {
+			written, err = a.Store.Put(ctx, a.key(), value, old.Version)
+		}
 	}
-	old, err := a.Store.Get(ctx, a.key())
-	if err != nil || string(old.Value) == string(value) {
-		return old.Version, err
+	if err == nil {
+		a.written = value
 	}
-	written, err = a.Store.Put(ctx, a.key(), value, old.Version)
 	return written.Version, err
 }
 
+// encodeEntry encodes the entry. Until the daemon has set its blocked parts, it keeps those of the old entry.
+func (a *Announcer) encodeEntry(old []byte) ([]byte, error) {
+	entry := a.Self
+	a.mu.Lock()
+	entry.BlockedParts = a.blocked
+	known := a.blocked != nil
+	a.mu.Unlock()
+	if !known && old != nil {
+		var before Member
+		if err := json.Unmarshal(old, &before); err != nil {
+			a.Log.Warn().Err(err).Str("key", a.key()).Msg("member-entry-refused") // it is replaced
+		}
+		entry.BlockedParts = before.BlockedParts
+	}
+	value, err := json.Marshal(entry)
+	return value, errors.Wrap(err, "encode member")
+}
+
 // Deregister deletes the daemon's own entry.
 func (a *Announcer) Deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"apricotspool/announcer"
+	"apricotspool/decider"
 	"apricotspool/imitator"
 	"apricotspool/namer"
 	"apricotspool/storer"
@@ -117,3 +118,32 @@
 		is.Equal(store.Calls()["put"], calls)
 	})
 }
+
+// Guards against blocked prompt parts that are lost when a daemon restarts and writes its entry before it knows them,
+// and against writes without a change.
+func TestBlockedPartsOutliveRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &imitator.Store{}
+		a, stop := start(t, store, "a", 1)
+		time.Sleep(time.Second)
+		parts := []decider.BlockedPart{{Part: 0x5c1e07a2, Level: 1, Since: time.Unix(1000, 0).UTC(), Until: time.Unix(2000, 0).UTC()}}
+		puts := store.Calls()["put"]
+		for range 3 {
+			a.SetBlockedParts(parts)
+			time.Sleep(time.Second)
+		}
+		is.Equal(store.Calls()["put"], puts+1)
+		stop()
+		moved, stop := start(t, store, "a", 9) // has to write another address
+		defer stop()
+		time.Sleep(4 * time.Second)
+		is.Equal(moved.Members()[0].PeerAddress.Port(), uint16(9))
+		is.Equal(moved.Members()[0].BlockedParts, parts)
+		puts = store.Calls()["put"]
+		moved.SetBlockedParts(nil)
+		time.Sleep(6 * time.Second)
+		is.Equal(len(moved.Members()[0].BlockedParts), 0)
+		is.Equal(store.Calls()["put"], puts+1)
+	})
+}
--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -66,6 +66,7 @@
 	dispatcher *dispatcher.Dispatcher
 	relayer    *relayer.Relayer
 	fleet      *gatewayFleet
+	keptParts  *keptParts
 	announcer  *announcer.Announcer
 	datagrams  *messenger.Datagrams
 	endpoints  forwarder.Service
@@ -119,6 +120,7 @@
 		settings: g.Settings, platform: g.Platform, config: g.config, registrar: g.registrar, announcer: g.announcer,
 		dispatcher: g.dispatcher, log: g.Log.Events,
 	}
+	g.keptParts = &keptParts{core, g.fleet}
 	g.endpoints = &forwarder.Client{EchoHeader: g.Platform.EchoHeader}
 	g.relayer = &relayer.Relayer{
 		Table: g.fleet.Table, Target: g.fleet.Target, Dialect: g.Platform.Dialect, Dispatcher: g.dispatcher,
--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -36,6 +37,8 @@
 
 	table   atomic.Pointer[matcher.Table]
 	targets atomic.Pointer[map[namer.Endpoint]forwarder.Target]
+	// ownEntryRead is set when the core has received this daemon's own entry, which may be from an earlier start.
+	ownEntryRead atomic.Bool
 }
 
 // Table returns the active routing table, or nil before the first configuration.
@@ -82,7 +85,14 @@
 		targets[e.Name] = forwarder.Target{Endpoint: e.Name, Address: e.Address}
 	}
 	f.targets.Store(&targets)
-	return f.dispatcher.Configure(ctx, f.buildFleet(table, entries))
+	fleet := f.buildFleet(table, entries)
+	if err := f.dispatcher.Configure(ctx, fleet); err != nil {
+		return err
+	}
+	if slices.ContainsFunc(fleet.Members, func(m decider.MemberView) bool { return m.Host == f.settings.Host }) {
+		f.ownEntryRead.Store(true)
+	}
+	return nil
 }
 
 // applyNewestConfig activates the newest configuration, unless it is invalid or older than the active one.
@@ -113,7 +123,7 @@
 func (f *gatewayFleet) buildFleet(table *matcher.Table, entries []registrar.Entry) decider.Fleet {
 	fleet := decider.Fleet{DataCentre: f.settings.DataCentre}
 	for _, m := range f.announcer.Members() {
-		fleet.Members = append(fleet.Members, decider.MemberView{Host: m.Host, DataCentre: m.DataCentre})
+		fleet.Members = append(fleet.Members, decider.MemberView{Host: m.Host, DataCentre: m.DataCentre, Blocked: m.BlockedParts})
 	}
 	fleet.Hosts = len(fleet.Members)
 	for name, s := range table.Services {
--- a/decider/fleet.go
+++ b/decider/fleet.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"apricotspool/namer"
+	"apricotspool/quarantiner"
 )
 
 // Fleet describes the services and the endpoints that serve them. It is built from one version of the
@@ -24,6 +25,15 @@
 type MemberView struct {
 	Host       namer.Host
 	DataCentre namer.DataCentre
+	Blocked    []BlockedPart // in its entry, as of when it was written
+}
+
+// BlockedPart is a prompt part that is blocked, as it is kept in the entries of daemons.
+type BlockedPart struct {
+	Part  quarantiner.Part `json:"part"`
+	Level int              `json:"level"` // failed trials
+	Since time.Time        `json:"since"`
+	Until time.Time        `json:"until"` // then one request is sent as a trial
 }
 
 // DefaultTransferRate assumes a 100 Gbit/s link at less than half its bandwidth.
--- a/placer/core.go
+++ b/placer/core.go
@@ -118,6 +118,7 @@
 func (c *Core) Configure(now time.Time, fleet decider.Fleet) {
 	c.ensureInit(now)
 	c.setMembers(fleet.Members)
+	c.mergeBlocked(c.seconds(now), fleet.Members)
 	for _, p := range c.pools {
 		p.endpoints = p.endpoints[:0]
 	}
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -22,6 +22,7 @@
 	finished   []finishedAttempt // by the time of their end
 	asked      map[quarantiner.Part]*asked
 	outbox     outbox
+	merged     []quarantiner.Block // from entries, not yet reported
 }
 
 // suspicion is what speaks for and against a request in the quarantine.
@@ -321,6 +322,10 @@
 			delete(c.quarantine.ended, process)
 		}
 	}
+	for _, b := range c.quarantine.merged {
+		c.reportPart(decider.PromptPartBlocked, b.Part, nil, b.Until-now)
+	}
+	c.quarantine.merged = nil
 	c.decideBlocks(now)
 	c.sendNotices(now)
 }
--- a/placer/quarantine_test.go
+++ b/placer/quarantine_test.go
@@ -162,6 +162,32 @@
 	is.Equal(last.outcome, classifier.Served)
 }
 
+// Guards against a blocked part that is in use again after all daemons have restarted.
+func TestBlockOutlivesDaemons(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, 3, 5)
+	f.crashingPart = crashingPart
+	f.generate(answer, 40, 40*time.Second, 0)
+	f.generate(answer, 1, 40*time.Second, crashingPart)
+	f.run(15 * time.Second)
+	keepers := 0
+	for i, h := range f.hosts {
+		f.view.Members[i].Blocked = h.core.KeptParts(f.time())
+		keepers += len(f.view.Members[i].Blocked)
+		h.core = &placer.Core{Self: h.name, Seed: uint64(i), Retries: placer.Retries{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}}
+	}
+	is.Equal(keepers, 2)
+	before := len(f.ends)
+	for _, r := range f.all {
+		delete(f.requests, r.request.ID) // lost with the daemons
+	}
+	f.reports = nil
+	f.configure()
+	f.run(50 * time.Second)
+	is.Equal(len(f.ends), before)
+	is.Equal(f.reported(decider.PromptPartBlocked), map[uint64]int{crashingPart: len(f.hosts)})
+}
+
 // Guards against blaming a sound part on a day on which engines end for other reasons: one after the other, all at
 // once, or so often that most requests are lost.
 func TestOrdinaryCrashesBlockNoPart(t *testing.T) {
--- a/quarantiner/block.go
+++ b/quarantiner/block.go
@@ -3,10 +3,23 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+
+	"github.com/pkg/errors"
 
 	"apricotspool/namer"
 )
 
+// MarshalText returns the part as in requests, in hexadecimal digits.
+func (p Part) MarshalText() ([]byte, error) { return []byte(strconv.FormatUint(uint64(p), 16)), nil }
+
+// UnmarshalText decodes hexadecimal digits.
+func (p *Part) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	*p = Part(n)
+	return errors.Wrapf(err, "part %q", text)
+}
+
 // Block is a blocked part.
 type Block struct {
 	Part    Part
