relayer: Let a resumed stream outlive the length of its first endpoint

Callers saw a stream cut off that another endpoint had continued. Cause: the header of the first response was passed on with its Content-Length. net/http refuses what is written beyond it, which was recorded as caller-gone, and closes the connection when less is written. Ruled out: the resumption itself; the same stream without a length is whole. Change: a stream is passed on without Content-Length, so that its end is marked by chunks. Another endpoint may write as much as it needs.

--- a/relayer/events.go
+++ b/relayer/events.go
@@ -83,6 +83,7 @@
 	}
 	complete := x.stream.partial[:end+2]
 	if !x.headerSent {
+		response.Header.Del("Content-Length") // another endpoint may continue the stream
 		x.writeHeader(response.Status, response.Header)
 	}
 	if x.stream.events == 0 {
--- a/relayer/unframed_test.go
+++ b/relayer/unframed_test.go
@@ -69,3 +69,22 @@
 		}
 	}
 }
+
+// Guards against a stream that is cut where the length that its first endpoint announced does not fit the events
+// of the endpoint that continues it.
+func TestResumedStreamIgnoresAnnouncedLength(t *testing.T) {
+	for name, length := range map[string]string{"too short": "60", "too long": "1000"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, dispatchTo("a", "b")...)
+			f.endpoint("a", func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Length", length)
+				streamFrom(2, abortConnection)(w, r)
+			})
+			f.endpoint("b", streamFrom(5, func() {}))
+			got := f.send("POST", "/resumed/", "")
+			is.Equal(got.body, events(5))
+			is.True(got.complete)
+		})
+	}
+}
