forwarder: Fail at once on another call's response that ends the connection

Callers waited up to their deadline for an answer that could no longer come. Cause: a response whose id belongs to another call is read to its end and skipped. One without length and chunks ends with its connection, so that the call waited for the end of a foreign body, only to fail then. Ruled out: taking it for the own response; it never was, before or after. Change: such a response fails the call before its body is read. No other response can follow on the connection, so nothing is lost by not waiting. Figures: TestUnframedMismatchedResponseEndsTheCall before: context deadline exceeded after 2 s; after: the call ends by itself, the connection is closed and the next call is answered. Conclusion: mended; the attempt may still have run, as before.

--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -149,8 +149,11 @@
 		if skipped++; skipped > maxMismatched {
 			return nil, errors.New("too many responses to other calls")
 		}
+		if response.Close {
+			return nil, errors.New("connection ends with a response to another call")
+		}
 		read, err := io.CopyN(io.Discard, response.Body, maxMismatchedBytes)
-		if err != io.EOF || response.Close {
+		if err != io.EOF {
 			return nil, errors.Errorf("skip response to another call: read %d bytes, then %v", read, err)
 		}
 	}
--- a/forwarder/unframed_test.go
+++ b/forwarder/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"strings"
@@ -52,3 +53,30 @@
 		})
 	}
 }
+
+// Guards against a call that waits for the end of another call's response although nothing can follow it on the
+// connection.
+func TestUnframedMismatchedResponseEndsTheCall(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	e := listen(t, func(n int, in *bufio.Reader, out net.Conn) {
+		id, _, _ := request(in)
+		if n > 1 {
+			respond(out, id, "own")
+			return
+		}
+		defer close(ended)
+		io.WriteString(out, "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\nnot ours")
+		in.ReadByte() // returns when the client closes the connection
+	})
+	ctx, stop := context.WithTimeout(t.Context(), 2*time.Second)
+	defer stop()
+	client := &forwarder.Client{EchoHeader: "Request-Id"}
+	_, err := client.Forward(ctx, e.target(), call("1"))
+	is.True(err != nil)
+	is.NoErr(ctx.Err()) // the call has ended by itself
+	<-ended
+	body, err := send(t, client, e.target(), call("2"))
+	is.NoErr(err)
+	is.Equal(body, "own")
+}
