commander: Keep SIGHUP from ending a gateway that drains

Callers saw their connection closed without an answer. Cause: SIGTERM ended the goroutine that reads the settings again, which removed the handler of SIGHUP on its way out. A SIGHUP during the drain then had its default action and ended the process with all requests in flight. The same held in the moment between the start and the goroutine's first line. Ruled out: the drain itself; without the SIGHUP the same test passes. Change: the handler is registered before anything else and stays until the process ends. Signals during the drain are dropped.

--- a/assembler/process_test.go
+++ b/assembler/process_test.go
@@ -6,12 +6,17 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"apricotspool/administrator"
 	"apricotspool/generator"
 )
@@ -247,3 +252,33 @@
 	}
 	return int(status.Configuration)
 }
+
+// Guards against SIGHUP ending a gateway that drains, and the requests that it has accepted with it.
+func TestReloadDuringDrain(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.configureDefaultRoutes()
+	s.startServer("app-1", "app", "").ServiceTime = time.Second
+	g := &gateway{settings: s.newSettings("g-1")}
+	text, err := json.Marshal(g.settings)
+	is.NoErr(err)
+	name := filepath.Join(t.TempDir(), "settings.json")
+	is.NoErr(os.WriteFile(name, text, 0o600))
+	process := exec.Command(binaries+"/apricotspool", "gateway", "--settings", name)
+	is.NoErr(process.Start())
+	t.Cleanup(func() { process.Process.Kill() })
+	eventually(t, "readiness", g.ready)
+	answers := make(chan reply, 1)
+	go func() {
+		_, got := s.send(http.DefaultClient, g, "POST", "/orders/1")
+		answers <- got
+	}()
+	time.Sleep(200 * time.Millisecond)
+	is.NoErr(process.Process.Signal(syscall.SIGTERM))
+	eventually(t, "unreadiness", func() bool { return !g.ready() })
+	is.NoErr(process.Process.Signal(syscall.SIGHUP))
+	got := <-answers
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.NoErr(process.Wait())
+}
--- a/commander/gateway.go
+++ b/commander/gateway.go
@@ -23,6 +23,9 @@
 }
 
 func (c *cli) gateway(ctx context.Context, name string) error {
+	// Never stopped: the default action of the signal would end a daemon that drains.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	settings, err := loader.LoadGateway(name)
 	if err != nil {
 		return withExitCode(ExitUsage, errors.Wrapf(err, "settings file %q", name))
@@ -34,15 +37,12 @@
 	log := recorder.NewAsyncLogger(c.out, level)
 	defer log.Close()
 	daemon := &assembler.Gateway{Settings: settings, Platform: platform.Adapter(), Log: log}
-	go reload(ctx, name, daemon)
+	go reload(ctx, reloads, name, daemon)
 	return daemon.Run(ctx)
 }
 
 // reload reads the settings again on each SIGHUP. Invalid settings are logged and ignored.
-func reload(ctx context.Context, name string, daemon *assembler.Gateway) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
+func reload(ctx context.Context, reloads <-chan os.Signal, name string, daemon *assembler.Gateway) {
 	for {
 		select {
 		case <-ctx.Done():
