messenger: Keep receiving datagrams after a failed read

All requests of a gateway would end without an answer with its process. Cause: Run returned the error of a failed read and closed its done channel. The supervisor ran it again, and its next return, at the latest when the daemon stopped, closed the channel once more, which panics. Ruled out: the other parts of the gateway; their Run returns only when its context has ended. Change: Run logs a failed read and reads again after 10 ms.

--- a/messenger/datagram.go
+++ b/messenger/datagram.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
@@ -13,6 +14,9 @@
 // maxDatagram is the size limit of a datagram in bytes. It fits into an Ethernet frame.
 const maxDatagram = 1400
 
+// readRetryDelay is the delay after a failed read.
+const readRetryDelay = 10 * time.Millisecond
+
 // Datagrams sends and receives short messages between daemons over UDP, without delivery guarantee. Set the
 // exported fields before Run.
 type Datagrams struct {
@@ -46,7 +50,12 @@
 			return ctx.Err()
 		}
 		if err != nil {
-			return errors.Wrap(err, "receive datagram")
+			d.Log.Warn().Err(err).Msg("datagram-not-received")
+			select {
+			case <-ctx.Done():
+			case <-time.After(readRetryDelay):
+			}
+			continue
 		}
 		if address, ok := from.(*net.UDPAddr); ok {
 			d.Receive(address.AddrPort(), buffer[:n])
--- a/messenger/datagram_test.go
+++ b/messenger/datagram_test.go
@@ -5,11 +5,14 @@
 	"net"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"apricotspool/messenger"
+	"apricotspool/supervisor"
 )
 
 func socket(t *testing.T) (net.PacketConn, netip.AddrPort) {
@@ -45,3 +48,36 @@
 	stop()
 	<-receiver.Done()
 }
+
+// failingSocket fails the first reads.
+type failingSocket struct {
+	net.PacketConn
+	failures int
+}
+
+func (s *failingSocket) ReadFrom(p []byte) (int, net.Addr, error) {
+	if s.failures > 0 {
+		s.failures--
+		return 0, nil, syscall.ENETDOWN
+	}
+	return s.PacketConn.ReadFrom(p)
+}
+
+// Guards against failed reads that end the process: a second run closes the done channel again.
+func TestFailedReadDoesNotEndTheProcess(t *testing.T) {
+	near, _ := socket(t)
+	receiverSocket, address := socket(t)
+	received := make(chan struct{}, 1)
+	d := &messenger.Datagrams{
+		Socket:  &failingSocket{receiverSocket, 2},
+		Receive: func(netip.AddrPort, []byte) { received <- struct{}{} },
+	}
+	tree := &supervisor.Supervisor{Children: []supervisor.Child{{Name: "datagrams", Part: d}}, MinDelay: time.Millisecond}
+	ctx, stop := context.WithCancel(t.Context())
+	go tree.Run(ctx)
+	(&messenger.Datagrams{Socket: near}).Send(address, "text")
+	<-received
+	stop()
+	<-tree.Done()
+	<-d.Done()
+}
