assembler: Test that changes leave requests in flight alone

Cause: the third hypothesis of docs/incidents/lost-silence.md is that a change of the configuration loses a request in flight; the tests covered only new requests after a change. Ruled out: routes that are dropped, or moved to another service with a shorter time limit, servers that are replaced or drain, and a store restored from a backup without configuration and entries: an order and a stream that are in flight meanwhile are answered in full and run once. Conclusion: the third hypothesis does not hold for these changes.

--- a/assembler/gateway_test.go
+++ b/assembler/gateway_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"apricotspool/assembler"
+	"apricotspool/imitator"
 	"apricotspool/loader"
 	"apricotspool/namer"
 	"apricotspool/platform"
@@ -453,3 +454,51 @@
 	eventually(t, "the third route", func() bool { _, got := s.send(http.DefaultClient, g, "GET", "/third/1"); return got.status == 200 })
 	eventually(t, "the dropped route", func() bool { _, got := s.send(http.DefaultClient, g, "GET", "/new/1"); return got.status == 404 })
 }
+
+// Guards against a change of the configuration, the servers' entries or the store that ends requests in flight.
+func TestRequestsOutliveChanges(t *testing.T) {
+	for name, change := range map[string]func(s *site, plain, engine *platformtest.Server, backup imitator.Backup){
+		"routes are dropped": func(s *site, _, _ *platformtest.Server, _ imitator.Backup) {
+			s.configure(route{"/items/", "safe", "app", time.Second})
+		},
+		"routes are moved and shortened": func(s *site, _, _ *platformtest.Server, _ imitator.Backup) {
+			s.configure(route{"/orders/", "safe", "llm", 50 * time.Millisecond}, route{"/ask/", "unsafe", "app", 50 * time.Millisecond})
+		},
+		"servers are replaced": func(s *site, plain, engine *platformtest.Server, _ imitator.Backup) {
+			s.startServer("app-2", "app", "")
+			s.startServer("make-2", "llm", "decode")
+			plain.Remove()
+			engine.Remove()
+		},
+		"servers drain": func(_ *site, plain, engine *platformtest.Server, _ imitator.Backup) {
+			plain.Drain()
+			engine.Drain()
+		},
+		"store is restored": func(s *site, _, _ *platformtest.Server, backup imitator.Backup) { s.Store.Restore(backup) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			s := newSite(t)
+			backup := s.Store.Backup()
+			s.configureDefaultRoutes()
+			plain, engine := s.startServer("app-1", "app", ""), s.startServer("make-1", "llm", "decode")
+			plain.ServiceTime, engine.ServiceTime, engine.Events = 1300*time.Millisecond, 130*time.Millisecond, 10
+			g := s.startGateway(s.newSettings("g-1"))
+			eventually(t, "readiness", g.ready)
+			var clients sync.WaitGroup
+			for _, path := range []string{"/orders/1", "/ask/1"} {
+				clients.Go(func() {
+					id, got := s.send(http.DefaultClient, g, "POST", path)
+					is.NoErr(got.err)
+					is.Equal(got.status, 200)
+					is.True(s.stampedByServer(id, got))
+					is.True(path != "/ask/1" || got.body == platformtest.StreamBody(id, 10))
+					is.Equal(s.Executions(id), 1)
+				})
+			}
+			eventually(t, "requests in flight", func() bool { return len(plain.Executions()) == 1 && len(engine.Executions()) == 1 })
+			change(s, plain, engine, backup)
+			clients.Wait()
+		})
+	}
+}
