relayer: Log and count responses that were cut

The log of a request didn't say whether its caller got a response or a closed connection, nor which failure came before, so the hypotheses couldn't be told apart. Change: request-ended has failed-attempt and aborted; the counter apricotspool_responses_aborted_total has the reason. No change of behaviour. Conclusion: TestLogRecordsAbortedResponse shows both fields.

--- a/recorder/metrics.go
+++ b/recorder/metrics.go
@@ -39,6 +39,11 @@
 // Outcome counts the outcome of one request.
 func (m *Metrics) Outcome(o classifier.Outcome) { m.outcome(o).Inc() }
 
+// Aborted counts a request that ended without a complete response, by the reason of its last failed attempt.
+func (m *Metrics) Aborted(reason classifier.RetryReason) {
+	m.Counter(fmt.Sprintf(`apricotspool_responses_aborted_total{reason=%q}`, string(reason))).Inc()
+}
+
 // Report counts a call for the load report of an endpoint.
 func (m *Metrics) Report(answered bool) {
 	m.Counter(fmt.Sprintf(`apricotspool_endpoint_reports_total{answered="%t"}`, answered)).Inc()
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -210,8 +210,7 @@
 	}
 	x.reportFinished(action, 0)
 	if err != nil {
-		x.recordOutcome(classifier.EndpointFailed)
-		x.abort = true
+		x.abortResponse(classifier.EndpointFailed)
 		return true
 	}
 	x.recordOutcome(classifier.Served)
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -55,8 +55,7 @@
 				writeErr = flusher.Flush()
 			}
 			if writeErr != nil {
-				x.recordOutcome(classifier.CallerDisconnected)
-				x.abort = true
+				x.abortResponse(classifier.CallerDisconnected)
 				return true
 			}
 		}
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -41,8 +41,9 @@
 	}
 }
 
-// logAttemptFailure logs why an attempt failed.
+// logAttemptFailure logs why an attempt failed, and keeps the reason for the line of the request's outcome.
 func (x *exchange) logAttemptFailure(a decider.Action, reason classifier.RetryReason, err error) {
+	x.lastFailure = reason
 	x.relayer.Log.Warn().Err(err).Str("request", x.call.ID).Str("endpoint", string(a.Endpoint)).Int("attempt", int(a.Attempt)).
 		Str("reason", string(reason)).Bool("may-have-run", x.mayHaveRun).Msg("attempt-failed")
 }
@@ -61,5 +62,11 @@
 	if !x.stream.firstAt.IsZero() {
 		event.Dur("first-event-ms", x.stream.firstAt.Sub(x.startTime)).Dur("longest-gap-ms", x.stream.longestGap)
 	}
+	if x.outcome != classifier.Served {
+		addOptional(event, "failed-attempt", string(x.lastFailure))
+	}
+	if x.abort {
+		event.Bool("aborted", true)
+	}
 	event.Msg("request-ended")
 }
--- a/relayer/log_test.go
+++ b/relayer/log_test.go
@@ -56,3 +56,14 @@
 		"request-ended outcome=endpoint-failed may-have-run=true",
 	})
 }
+
+// Guards against a log that does not tell a response that was cut from a failure that the caller was told.
+func TestLogRecordsAbortedResponse(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, dispatchTo("a")...)
+	f.endpoint("a", streamFrom(1, abortConnection))
+	is.True(!f.send("POST", "/stream/", "").complete)
+	is.Equal(f.log.requestLines(t, "id-1", "failed-attempt", "aborted"), []string{
+		"attempt-started", "attempt-failed", "request-refused", "request-ended failed-attempt=stream-broken aborted=true",
+	})
+}
