--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -250,3 +250,25 @@
 	is.True(got.complete)
 	is.Equal(f.core.waitEvents(2)[1].Reason, classifier.RetryEndpointUnresponsive)
 }
+
+// Guards against cutting a response because its endpoint was silent for a second, when no other attempt can
+// follow.
+func TestSilentEndpointIsKeptWithoutReplacement(t *testing.T) {
+	pause := func(w http.ResponseWriter, r *http.Request) {
+		streamFrom(2, func() {
+			time.Sleep(1500 * time.Millisecond)
+			r.Header.Set("X-Last-Event", "2")
+			streamFrom(4, func() {})(w, r)
+		})(w, r)
+	}
+	for name, path := range map[string]string{"engine": "/engine/", "plain": "/resumed/"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, dispatchTo("a")...)
+			f.reportEndpoint("a", func() (detector.Report, bool) { return detector.Report{}, false }, pause)
+			got := f.send("POST", path, "")
+			is.Equal(got.body, events(4))
+			is.True(got.complete)
+		})
+	}
+}
