relayer, placer: Leave a silent endpoint only for another that responds

Callers saw: responses that had begun were cut, beside a change of the configuration and at other times, because their endpoint had sent nothing for half a second. Cause: the watchdog cancelled an attempt on suspicion and asked the core for another one afterwards. The core refused when the retry budget or the route's attempts were used up, when no engine met the targets, or after the second engine had refused or not been reached. A suspicion ended what only a certain failure may end. Ruled out: a longer time before the suspicion (fails at another speed, and a silent endpoint of urgent work is worth leaving at once); a second attempt beside the first (the endpoint that goes on would run the request twice). Change: the watchdog reports the endpoint as unresponsive (EventUnresponsive); the core ejects it and proposes an engine within budget and attempts (ActionProbe); only if that one answers a call for its report is the retry charged and the attempt abandoned (ActionAbandon), and the request goes on there without another reservation. Otherwise the attempt is kept (ActionKeep) and looked at again. A response that has begun isn't refused for lateness or a full engine, and attempts that did not run don't use up its attempts. An attempt that could not connect counts as unsent also if the watchdog ended it. The scripted core of relayer's tests answers the new event; its checks are the same.

--- a/decider/event.go
+++ b/decider/event.go
@@ -72,10 +72,14 @@
 	EventLoad
 	// EventCache reports prefix blocks that an engine has added to or evicted from its cache.
 	EventCache
-	// EventHealth reports the result of a reachability check made outside a request.
+	// EventHealth reports the result of a reachability check made outside a request, or of the check that
+	// ActionProbe asked for.
 	EventHealth
 	// EventLeaving reports that Endpoint has announced in a response that it is leaving.
 	EventLeaving
+	// EventUnresponsive reports that the endpoint of the current attempt sends nothing. The core answers with
+	// ActionProbe, ActionAbandon or ActionKeep.
+	EventUnresponsive
 )
 
 // Event is an input to a Core. Only the fields of its kind are set.
@@ -132,6 +136,13 @@
 	ActionSend
 	// ActionReport announces a change in the assumed state of an endpoint or daemon.
 	ActionReport
+	// ActionProbe checks whether Endpoint responds, where the request could go on. EventHealth has the result.
+	ActionProbe
+	// ActionAbandon ends the current attempt, whose endpoint is unresponsive. Another attempt follows its
+	// EventFailed.
+	ActionAbandon
+	// ActionKeep keeps the current attempt although its endpoint is unresponsive, since no other can follow.
+	ActionKeep
 )
 
 // Action is a decision that the owner of a Core carries out.
--- a/detector/watch.go
+++ b/detector/watch.go
@@ -90,11 +90,21 @@
 	case Stalled:
 		return Step{Action: AbandonUnresponsive}
 	}
-	wait := max(time.Duration(recheckGrowth*float64(s.Attempt)), ReportLag)
+	return w.Kept(now, s)
+}
+
+// Kept returns the next step after an attempt at an unresponsive endpoint that no other can follow.
+func (w *Watch) Kept(now time.Duration, s Silence) Step {
+	wait := recheckAfter(s)
 	w.nextAsk = now + wait
 	return Step{Wait, wait}
 }
 
+// recheckAfter returns the time between two checks of a silent attempt.
+func recheckAfter(s Silence) time.Duration {
+	return max(time.Duration(recheckGrowth*float64(s.Attempt)), ReportLag)
+}
+
 // NotReported returns the next step when the endpoint has not answered the call for a report that began at
 // a time.
 func (w *Watch) NotReported(now, began time.Duration, s Silence) Step {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -166,6 +166,10 @@
 			continue
 		}
 		t := d.tickets[a.Request]
+		if t != nil && (a.Kind == decider.ActionProbe || a.Kind == decider.ActionAbandon || a.Kind == decider.ActionKeep) {
+			t.decide(a)
+			continue
+		}
 		if t == nil {
 			// The request has ended; only a cancellation may still be pending.
 			asserter.Check(a.Kind == decider.ActionCancel, "actions refer to known requests", "%+v", a)
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -16,11 +16,12 @@
 	request    decider.Request
 	dispatcher *Dispatcher
 	actions    chan decider.Action
+	decisions  chan decider.Action // on an unresponsive endpoint; the latest only
 }
 
 // Submit submits a request to the core.
 func (d *Dispatcher) Submit(ctx context.Context, r decider.Request) (*Ticket, error) {
-	t := &Ticket{request: r, dispatcher: d, actions: make(chan decider.Action, maxPendingActions)}
+	t := &Ticket{request: r, dispatcher: d, actions: make(chan decider.Action, maxPendingActions), decisions: make(chan decider.Action, 1)}
 	if err := d.send(ctx, command{arrive: t}); err != nil {
 		return nil, err
 	}
@@ -34,6 +35,42 @@
 // inbox then receive no action, and their Actions channel stays open.
 func (t *Ticket) Stopped() <-chan struct{} { return t.dispatcher.Done() }
 
+// decide replaces the last decision on an unresponsive endpoint. It never blocks.
+func (t *Ticket) decide(a decider.Action) {
+	select {
+	case <-t.decisions:
+	default:
+	}
+	t.decisions <- a // only the control goroutine sends
+}
+
+// Unresponsive reports that the endpoint of an attempt sends nothing, and returns whether to abandon the attempt
+// because another one can follow. probe reports whether an endpoint responds. If the attempt ends meanwhile, ctx must
+// be done.
+func (t *Ticket) Unresponsive(ctx context.Context, attempt namer.Attempt, at namer.Endpoint, probe func(namer.Endpoint) bool) (abandon bool) {
+	select {
+	case <-t.decisions: // on an endpoint that responded before the decision
+	default:
+	}
+	t.report(decider.Event{Kind: decider.EventUnresponsive, Attempt: attempt, Endpoint: at})
+	for {
+		select {
+		case a := <-t.decisions:
+			switch {
+			case a.Attempt != attempt:
+			case a.Kind == decider.ActionProbe:
+				t.report(decider.Event{Kind: decider.EventHealth, Attempt: attempt, Endpoint: a.Endpoint, Healthy: probe(a.Endpoint)})
+			case a.Endpoint == at:
+				return a.Kind == decider.ActionAbandon
+			}
+		case <-t.Stopped():
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // Started reports the first token or byte of an attempt.
 func (t *Ticket) Started(attempt namer.Attempt, at namer.Endpoint) {
 	t.report(decider.Event{Kind: decider.EventStarted, Attempt: attempt, Endpoint: at})
--- a/placer/core.go
+++ b/placer/core.go
@@ -86,6 +86,12 @@
 	reservation ReservationID
 	late        bool
 	started     bool // the first event has arrived
+
+	unresponsive bool // its endpoint has been reported as unresponsive
+	abandoned    bool // the core has ended an attempt at an unresponsive endpoint
+	delivered    bool // the caller has received a part of the response
+	// replacement is the engine at which the request goes on after an attempt that the core has ended.
+	replacement *endpoint
 }
 
 // stage is the state of a request.
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -41,6 +41,8 @@
 
 	reports  []decider.Action // reports of the cores about endpoints and daemons
 	basis    map[namer.StreamID]decider.Basis
+	decided  map[namer.StreamID]decider.ActionKind // on unresponsive endpoints
+	silent   map[namer.Endpoint]bool               // these don't respond to probes
 	requests map[namer.StreamID]*trackedRequest
 	all      []*trackedRequest
 }
@@ -117,7 +119,7 @@
 func newFleetOf(t *testing.T, prefillClass modeler.Class, hosts, prefillEngines, decodeEngines int) *fleet {
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), engines: map[namer.Endpoint]*engine{}, requests: map[namer.StreamID]*trackedRequest{},
-		basis: map[namer.StreamID]decider.Basis{}, knownAt: map[uint64]map[namer.Endpoint]bool{},
+		basis: map[namer.StreamID]decider.Basis{}, decided: map[namer.StreamID]decider.ActionKind{}, silent: map[namer.Endpoint]bool{}, knownAt: map[uint64]map[namer.Endpoint]bool{},
 		view: decider.Fleet{Services: []decider.ServiceView{{Name: service, Backups: true, EventTokens: eventTokens}}},
 	}
 	for i := range prefillEngines + decodeEngines {
@@ -222,6 +224,10 @@
 		}
 		r := f.requests[a.Request]
 		switch a.Kind {
+		case decider.ActionProbe:
+			f.observe(r, decider.Event{Kind: decider.EventHealth, Attempt: a.Attempt, Endpoint: a.Endpoint, Healthy: !f.silent[a.Endpoint]})
+		case decider.ActionAbandon, decider.ActionKeep:
+			f.decided[a.Request] = a.Kind
 		case decider.ActionRefuse:
 			r.outcome, r.retryAfter = a.Outcome, a.RetryAfter
 		case decider.ActionDispatch, decider.ActionPrefill:
@@ -371,6 +377,7 @@
 	priority               int
 	idempotent             bool
 	attempts               int // 0 means 2
+	patience               time.Duration
 }
 
 // longPrompt has a long prompt and a short output, longOutput a short prompt and a long output.
@@ -386,7 +393,7 @@
 	r := &trackedRequest{host: h, output: k.output, arrived: f.now, request: decider.Request{
 		ID: namer.StreamID(fmt.Sprintf("r-%d", len(f.all))), Service: service, Idempotent: k.idempotent, PromptTokens: k.prompt,
 		MaxTokens: k.output, Deadline: f.time().Add(15 * time.Second), Target: k.target, TargetGap: 150 * time.Millisecond,
-		Priority: k.priority, Attempts: cmp.Or(k.attempts, 2),
+		Priority: k.priority, Attempts: cmp.Or(k.attempts, 2), Patience: k.patience,
 		Parts: []decider.Part{{ID: session, Tokens: k.shared}, {ID: uint64(len(f.all)) + 1<<50, Tokens: ownTokens}},
 	}}
 	if k.output < k.prompt {
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -46,6 +46,10 @@
 	case decider.EventCancelled:
 		c.releaseEndpoint(at, q)
 		c.removeRequest(q)
+	case decider.EventUnresponsive:
+		c.handleUnresponsive(at, q, e.Endpoint)
+	case decider.EventHealth:
+		c.handleProbe(at, q, e)
 	case decider.EventFailed:
 		if q.stage != waiting {
 			c.handleFailure(at, q, e)
@@ -57,7 +61,7 @@
 // recordStarted handles the first event of a response.
 func (c *Core) recordStarted(now namer.Seconds, q *request) {
 	if q.stage == running && !q.started {
-		q.started = true
+		q.started, q.delivered = true, true
 		q.endpoint.recordPrefix(now, q.prefix(), true)
 		c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Prefilled})
 	}
@@ -79,7 +83,9 @@
 
 // handleFailure retries a failed attempt if that is safe and within the retry budget, or refuses the request.
 func (c *Core) handleFailure(now namer.Seconds, q *request, e decider.Event) {
-	c.recordEndpointFailure(now, q.endpoint, e.Reason)
+	if !q.unresponsive {
+		c.recordEndpointFailure(now, q.endpoint, e.Reason)
+	}
 	if e.RetryAfter > 0 {
 		q.endpoint.turnsAwayUntil = max(q.endpoint.turnsAwayUntil, now+namer.SecondsOf(e.RetryAfter))
 	}
@@ -87,24 +93,26 @@
 	started, backup := q.started, q.backup
 	q.recordFailure(e)
 	c.releaseEndpoint(now, q)
-	retryPermitted := q.retryCharged || c.retryAllowed(now, q)
+	retryPermitted := c.retryPermitted(now, q)
 	q.skipPrefill = q.prefillAttempted && !retryPermitted
+	replacement := q.replacement
+	q.replacement = nil
 	switch {
-	case retryPermitted && started && !e.NotRun && backup != nil && backup.usable(now, true) && c.endpoints[backup.view.Name] == backup:
+	case replacement != nil && replacement != backup && replacement.usable(now, true) && c.endpoints[replacement.view.Name] == replacement:
+		c.dispatch(now, q, choice{endpoint: replacement, expectedDelay: replacement.queueDelay(now, q.class())}, false)
+	case retryPermitted && started && !e.NotRun && c.backupUsable(now, q, backup):
 		// The request resumes on the engine that has a copy of its KV cache, so it still runs only once.
 		c.dispatch(now, q, choice{endpoint: backup, fromBackup: true}, false)
 	case q.mayHaveRun && !q.Idempotent:
 		c.refuse(now, q, classifier.EndpointFailed, 0)
-	case len(q.tried) > maxEndpointsTried || (q.received && !retryPermitted) || q.attemptsReceived >= max(1, q.Attempts):
+	case (len(q.tried) > maxEndpointsTried && !q.mustContinue()) || (q.received && !retryPermitted) || q.attemptsReceived >= max(1, q.Attempts):
 		c.refuse(now, q, classifier.EndpointRefused, refusedRetry)
 	case q.prefilled:
 		q.attempt++
 		c.dispatchDecode(now, q)
 	default:
-		if q.received && !q.retryCharged {
-			// Charged at once, since many requests fail together and then wait for reservations.
-			q.pool.retryBudget.recordRetry(now, c.Retries)
-			q.retryCharged = true
+		if q.received {
+			c.chargeBeforehand(now, q)
 		}
 		q.declined, q.late = nil, false
 		c.place(now, q)
@@ -124,7 +132,9 @@
 		q.prefillAttempted = true
 		q.received = q.received || e.Reason != classifier.RetryEndpointUnresponsive // an unresponsive engine is still processing the prompt
 	default:
-		q.attemptsReceived++
+		if !e.NotRun || !q.mustContinue() {
+			q.attemptsReceived++
+		}
 		q.received = true
 	}
 }
--- a/placer/place.go
+++ b/placer/place.go
@@ -23,13 +23,13 @@
 		found := c.pick(now, q)
 		switch {
 		case found.endpoint == nil && found.overloaded:
-			c.refuse(now, q, classifier.TargetUnreachable, c.busyRetryAfter(now, q))
+			c.refuseUnlessBegun(now, q, classifier.TargetUnreachable)
 			return
 		case found.endpoint == nil:
-			c.refuse(now, q, classifier.NoEndpoint, noEndpointRetry)
+			c.refuseUnlessBegun(now, q, classifier.NoEndpoint)
 			return
 		case len(q.declined) >= maxReserveRequests && q.late:
-			c.refuse(now, q, classifier.TargetUnreachable, c.busyRetryAfter(now, q))
+			c.refuseUnlessBegun(now, q, classifier.TargetUnreachable)
 			return
 		case len(q.declined) >= maxReserveRequests:
 			// No engine can meet the target. Retry once for capacity that the others leave.
@@ -155,7 +155,7 @@
 		c.reportProgress(now, e, q.reservation, ProgressUpdate{Progress: Placed, Work: q.work(now, found)})
 	}
 	q.attempt++
-	q.endpoint, q.started = e, false
+	q.endpoint, q.started, q.unresponsive = e, false, false
 	if q.received || (found.prefill && q.prefillAttempted) {
 		c.chargeRetry(now, q)
 	}
@@ -212,7 +212,7 @@
 	work := q.work(now, choice{})
 	work.Tokens, work.PrefixTokens = 0, 0 // the prompt has been processed by a prefill engine
 	c.reportProgress(now, e, q.reservation, ProgressUpdate{Progress: Placed, Work: work})
-	q.stage, q.endpoint, q.started = running, e, false
+	q.stage, q.endpoint, q.started, q.unresponsive = running, e, false, false
 	e.running++
 	e.health.recordSent()
 	c.actions = append(c.actions, decider.Action{
--- /dev/null
+++ b/placer/unresponsive.go
@@ -0,0 +1,133 @@
+package placer
+
+import (
+	"apricotspool/classifier"
+	"apricotspool/decider"
+	"apricotspool/namer"
+)
+
+// handleUnresponsive decides whether a request leaves an endpoint that sends nothing. A sound endpoint may be silent
+// for a while, so the request leaves only if another attempt is certain to follow.
+func (c *Core) handleUnresponsive(now namer.Seconds, q *request, at namer.Endpoint) {
+	if q.stage == waiting || q.endpoint.view.Name != at {
+		return // that attempt has ended
+	}
+	if !q.unresponsive || !q.pool.plain {
+		c.recordEndpointFailure(now, q.endpoint, classifier.RetryEndpointUnresponsive)
+	}
+	q.unresponsive = true
+	c.proposeReplacement(now, q)
+}
+
+// handleProbe handles the result of the check of an engine at which a request could go on.
+func (c *Core) handleProbe(now namer.Seconds, q *request, e decider.Event) {
+	if q.stage != running {
+		return // that attempt has ended
+	}
+	probed := c.endpoints[e.Endpoint]
+	if probed == nil {
+		c.proposeReplacement(now, q)
+		return
+	}
+	if !e.Healthy {
+		c.recordEndpointFailure(now, probed, classifier.RetryEndpointUnresponsive)
+	}
+	if !e.Healthy || !probed.usable(now, true) || !c.retryPermitted(now, q) {
+		c.proposeReplacement(now, q)
+		return
+	}
+	q.replacement = probed
+	c.abandonAttempt(now, q)
+}
+
+// proposeReplacement asks for a check of the engine at which the request could go on, or keeps the attempt if there
+// is none. Where nothing has been sent to the caller, a check isn't worth its time.
+func (c *Core) proposeReplacement(now namer.Seconds, q *request) {
+	e := c.pickReplacement(now, q)
+	switch {
+	case e == nil:
+		c.answerUnresponsive(q, decider.ActionKeep, q.endpoint)
+	case q.stage == prefilling || q.pool.plain:
+		c.abandonAttempt(now, q)
+	default:
+		c.answerUnresponsive(q, decider.ActionProbe, e)
+	}
+}
+
+func (c *Core) abandonAttempt(now namer.Seconds, q *request) {
+	q.abandoned = true
+	if q.stage == running {
+		c.chargeBeforehand(now, q)
+	}
+	c.answerUnresponsive(q, decider.ActionAbandon, q.endpoint)
+}
+
+func (c *Core) answerUnresponsive(q *request, kind decider.ActionKind, e *endpoint) {
+	c.actions = append(c.actions, decider.Action{Kind: kind, Request: q.ID, Attempt: q.attempt, Endpoint: e.view.Name})
+}
+
+// pickReplacement returns an endpoint at which the request could go on, or nil.
+func (c *Core) pickReplacement(now namer.Seconds, q *request) *endpoint {
+	switch {
+	case len(q.tried)+1 > maxEndpointsTried || !c.retryPermitted(now, q):
+		return nil
+	case q.stage == prefilling:
+		return c.pickShortestQueue(now, q)
+	case q.started && c.backupUsable(now, q, q.backup):
+		return q.backup
+	case !q.Idempotent || q.attemptsReceived+1 >= max(1, q.Attempts):
+		return nil
+	}
+	return c.pickShortestQueue(now, q)
+}
+
+// retryPermitted reports whether the retry budget has been charged for the next attempt, or permits it.
+func (c *Core) retryPermitted(now namer.Seconds, q *request) bool {
+	return q.retryCharged || c.retryAllowed(now, q)
+}
+
+// backupUsable reports whether an engine with a copy of the request's KV cache can continue the response.
+func (c *Core) backupUsable(now namer.Seconds, q *request, backup *endpoint) bool {
+	return backup != nil && backup.usable(now, true) && !q.hasTried(backup) && c.endpoints[backup.view.Name] == backup
+}
+
+// chargeBeforehand charges the retry budget for the attempt that follows the current one. Many requests fail
+// together and then wait for reservations.
+func (c *Core) chargeBeforehand(now namer.Seconds, q *request) {
+	if !q.retryCharged {
+		q.pool.retryBudget.recordRetry(now, c.Retries)
+		q.retryCharged = true
+	}
+}
+
+// mustContinue reports whether a refusal would end a response that has begun, or an attempt that this daemon has
+// abandoned because another one would follow.
+func (q *request) mustContinue() bool { return q.delivered || q.abandoned }
+
+// refuseUnlessBegun refuses a request that no engine takes within its target. A response that must continue does so
+// at the engine with the shortest queue, without a reservation.
+func (c *Core) refuseUnlessBegun(now namer.Seconds, q *request, outcome classifier.Outcome) {
+	if q.mustContinue() {
+		if e := c.pickShortestQueue(now, q); e != nil {
+			q.late = true
+			c.dispatch(now, q, choice{endpoint: e, expectedDelay: e.queueDelay(now, q.class())}, false)
+			return
+		}
+	}
+	retryAfter := noEndpointRetry
+	if outcome == classifier.TargetUnreachable {
+		retryAfter = c.busyRetryAfter(now, q)
+	}
+	c.refuse(now, q, outcome, retryAfter)
+}
+
+// pickShortestQueue returns the endpoint that can generate the response and has the shortest queue for the request.
+func (c *Core) pickShortestQueue(now namer.Seconds, q *request) *endpoint {
+	var least lowestScore
+	for _, e := range q.pool.endpoints {
+		if e.view.Role != namer.RolePrefill && e.usable(now, true) && e != q.endpoint && !q.hasTried(e) {
+			least.consider(e, e.queueDelay(now, q.class()))
+		}
+	}
+	return least.endpoint
+}
--- /dev/null
+++ b/placer/unresponsive_test.go
@@ -0,0 +1,120 @@
+package placer_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"apricotspool/classifier"
+	"apricotspool/decider"
+)
+
+// resumable is a long stream that may continue at another engine.
+var resumable = workload{prompt: 200, shared: 100, output: 5000, sessions: 20, target: 100 * time.Millisecond, idempotent: true, patience: 2 * time.Second}
+
+// Guards against giving up attempts at a silent endpoint that no other attempt can follow, because the retry budget
+// or the endpoints are exhausted, and against refusing those that were given up.
+func TestUnresponsiveEndpointIsLeftOnlyForAnother(t *testing.T) {
+	for name, c := range map[string]struct {
+		engines, abandoned int
+		slack              float64
+		once               bool // the requests can't be repeated
+		crowded            bool // the other engine has a long queue
+		silent             int  // engines that don't respond to probes
+	}{
+		"budget for all":             {engines: 2, slack: 100, abandoned: 30},
+		"other engine is full":       {engines: 2, slack: 100, abandoned: 30, crowded: true},
+		"budget for some":            {engines: 2, slack: 5, abandoned: 8},
+		"no other engine":            {engines: 1, slack: 100},
+		"other engine is silent too": {engines: 2, slack: 100, silent: 2},
+		"one of two others responds": {engines: 3, slack: 100, silent: 2, abandoned: 30},
+		"requests that run once":     {engines: 2, slack: 100, once: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, 0, c.engines)
+			f.view.Services[0].Backups = false
+			f.configure()
+			f.hosts[0].core.Retries.Slack = c.slack
+			k := resumable
+			k.idempotent = !c.once
+			streams := f.fillOneEngine(k, 30)
+			silent := streams[0].endpoint
+			f.run(f.now + 3*time.Second) // longer than callers wait for the first event
+			if c.crowded {
+				f.crowd()
+			}
+			for i := range c.silent {
+				f.silent[f.names[(slices.Index(f.names, silent)+i)%c.engines]] = true
+			}
+			var abandoned []*trackedRequest
+			for _, r := range streams {
+				f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: r.attempt, Endpoint: silent})
+				if f.decided[r.request.ID] == decider.ActionAbandon {
+					abandoned = append(abandoned, r)
+					continue
+				}
+				is.Equal(f.decided[r.request.ID], decider.ActionKeep)
+			}
+			is.Equal(len(abandoned), c.abandoned)
+			for _, r := range abandoned {
+				f.fail(r, r.attempt, classifier.RetryEndpointUnresponsive, false)
+				is.True(r.endpoint != silent && !f.silent[r.endpoint])
+				is.Equal(string(r.outcome), "")
+			}
+			is.True(f.reports[0].Report == decider.EndpointEjected && f.reports[0].Endpoint == silent)
+		})
+	}
+}
+
+// fillOneEngine places streams on the engine that the core prefers until it is full.
+func (f *fleet) fillOneEngine(k workload, streams int) []*trackedRequest {
+	var placed []*trackedRequest
+	for range streams {
+		placed = append(placed, f.arrive(f.hosts[0], k))
+		f.run(f.now + 20*time.Millisecond)
+	}
+	return placed
+}
+
+// crowd gives the engines urgent prompts that take them longer than a stream may pause.
+func (f *fleet) crowd() {
+	urgent := longPrompt
+	urgent.priority, urgent.target = 0, 20*time.Second
+	for range 400 {
+		f.arrive(f.hosts[0], urgent)
+	}
+}
+
+// Guards against refusing a stream whose engine has failed because no other engine meets the targets.
+func TestStreamContinuesAtFullEngine(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0, 2)
+	f.view.Services[0].Backups = false
+	f.configure()
+	r := f.arrive(f.hosts[0], resumable)
+	f.run(f.now + 3*time.Second)
+	failed := r.endpoint
+	f.crowd()
+	f.observe(r, decider.Event{Kind: decider.EventFailed, Attempt: r.attempt, Endpoint: failed, Reason: classifier.RetryStreamBroken, OutputTokens: 10})
+	is.Equal(string(r.outcome), "")
+	is.True(r.endpoint != failed)
+}
+
+// Guards against a stream that is cut because the engine with its backup refuses it: an attempt that did not run
+// doesn't use up the attempts of a response that has begun.
+func TestRefusedBackupDoesNotEndStream(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0, 3)
+	r := f.arrive(f.hosts[0], resumable)
+	f.run(f.now + 3*time.Second)
+	backup := r.backup
+	is.True(backup != "")
+	f.fail(r, r.attempt, classifier.RetryStreamBroken, false)
+	is.Equal(r.endpoint, backup)
+	f.fail(r, r.attempt, classifier.RetryEndpointRefused, true)
+	is.Equal(string(r.outcome), "")
+	is.True(r.endpoint != backup)
+}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -36,7 +36,7 @@
 	}
 	prefill := action.Kind == decider.ActionPrefill
 	ctx, wd := x.relayer.startWatchdog(ctx, watched{
-		target: target, kind: callKind{service: x.service, prefill: prefill}, callID: x.call.ID, predicted: action.Basis.Expected,
+		target: target, kind: callKind{service: x.service, prefill: prefill}, callID: x.call.ID, attempt: action.Attempt, ticket: x.ticket, predicted: action.Basis.Expected,
 		latency: x.route.Target, deadline: x.deadline, reports: x.engine,
 		replace: !action.FinalAttempt && (prefill || x.route.Repeatable() || action.Backup != ""),
 	})
@@ -122,8 +122,8 @@
 		return true
 	}
 	reason := cmp.Or(abandoned(ctx), classifier.RetryStreamBroken)
-	if notRun && abandoned(ctx) == "" {
-		reason = classifier.RetryConnectFailed
+	if notRun {
+		reason = classifier.RetryConnectFailed // also if the watchdog ended the attempt to connect
 	}
 	x.logAttemptFailure(action, reason, err)
 	x.ticket.Failed(action.Attempt, action.Endpoint, reason, notRun, x.stream.events)
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -182,7 +182,10 @@
 // endWithoutAttempt ends the request with the given outcome instead of making another attempt.
 func (x *exchange) endWithoutAttempt(outcome classifier.Outcome, retryAfter time.Duration) {
 	if x.headerSent {
-		x.abortResponse(classifier.EndpointFailed)
+		if outcome != classifier.DeadlineExceeded && outcome != classifier.CallerDisconnected {
+			outcome = classifier.EndpointFailed
+		}
+		x.abortResponse(outcome)
 		return
 	}
 	if x.fallback != nil && x.r.Context().Err() == nil {
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -101,6 +101,13 @@
 func (s *scriptedCore) Observe(_ time.Time, e decider.Event) []decider.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if e.Kind == decider.EventUnresponsive {
+		kind := decider.ActionKeep
+		if len(s.actions) > 0 {
+			kind = decider.ActionAbandon
+		}
+		return []decider.Action{{Kind: kind, Request: s.request.ID, Attempt: e.Attempt, Endpoint: e.Endpoint}}
+	}
 	s.events = append(s.events, e)
 	if e.Kind == decider.EventFailed || e.Kind == decider.EventPrefilled {
 		return s.next()
--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -12,13 +12,14 @@
 
 	"apricotspool/classifier"
 	"apricotspool/detector"
+	"apricotspool/dispatcher"
 	"apricotspool/forwarder"
 	"apricotspool/namer"
 )
 
 // Causes of contexts that the watchdog cancelled.
 var (
-	errInactive = errors.New("endpoint is unresponsive")
+	errInactive = errors.New("endpoint is unresponsive") // and another attempt follows
 	errLost     = errors.New("endpoint no longer has the request")
 )
 
@@ -76,11 +77,13 @@
 	target    forwarder.Target
 	kind      callKind
 	callID    string
+	attempt   namer.Attempt
+	ticket    *dispatcher.Ticket
 	predicted time.Duration // until the first event
 	latency   time.Duration // the route's latency target
 	deadline  time.Time
 	reports   bool // the endpoint reports its load
-	replace   bool // another attempt can follow
+	replace   bool // another attempt may follow
 }
 
 // watchdog cancels the context of an attempt that will get no response; see detector.Watch.
@@ -135,6 +138,9 @@
 
 // check is called by the timer.
 func (wd *watchdog) check() {
+	if wd.ctx.Err() != nil {
+		return // stopped during the last check
+	}
 	now, patience := time.Since(processStart), wd.patience()
 	step := wd.watch.Check(now, wd.silence(now), patience)
 	if step.Action == detector.Ask {
@@ -153,8 +159,29 @@
 	case detector.AbandonLost:
 		wd.cancel(errLost)
 	default:
+		wd.replaceAttempt()
+	}
+}
+
+// replaceAttempt cancels the attempt if the core has another one that can follow. A sound endpoint may send nothing
+// for a while: without a replacement its response is worth waiting for.
+func (wd *watchdog) replaceAttempt() {
+	if wd.ticket.Unresponsive(wd.ctx, wd.attempt, wd.target.Endpoint, wd.responds) {
 		wd.cancel(errInactive)
+		return
+	}
+	now := time.Since(processStart)
+	wd.timer.Reset(wd.watch.Kept(now, wd.silence(now)).Wait)
+}
+
+// responds reports whether an engine answers a call for its report.
+func (wd *watchdog) responds(name namer.Endpoint) bool {
+	target, known := wd.relayer.Target(name)
+	if !known {
+		return false
 	}
+	_, err := wd.relayer.reports.ask(wd.ctx, wd.relayer, target)
+	return err == nil
 }
 
 // progress records that the attempt has made progress: its response has begun, or a whole event has arrived.
