relayer: Keep a long response at an endpoint that pauses

Callers saw a response of over 256 KiB cut where its endpoint paused. Cause: the watchdog went on judging the attempt after a part of the response had been sent. Copying the rest counts as no progress, and a plain response can't be continued elsewhere, so that abandoning the attempt cuts it, whether or not another endpoint is free. Ruled out: the resumption of streams; only responses that are not streams are passed on in this way. Change: the watch ends before the first byte of such a response is sent. If the attempt has been abandoned by then, the request is sent again instead.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -201,6 +201,11 @@
 	if err != nil {
 		return x.handleBrokenResponse(ctx, action, err)
 	}
+	if len(body) == maxBufferedBytes {
+		if err := wd.commit(); err != nil {
+			return x.handleBrokenResponse(ctx, action, err)
+		}
+	}
 	wd.progress()
 	x.ticket.Started(action.Attempt, action.Endpoint)
 	x.writeHeader(response.Status, response.Header)
--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -97,6 +97,7 @@
 	cancel         context.CancelCauseFunc
 	ctx            context.Context
 	timer          *time.Timer // nil if no other attempt can follow
+	decided        atomic.Bool // the attempt has been committed or abandoned
 
 	watch detector.Watch // used only by check, which does not run concurrently with itself
 }
@@ -138,8 +139,8 @@
 
 // check is called by the timer.
 func (wd *watchdog) check() {
-	if wd.ctx.Err() != nil {
-		return // stopped during the last check
+	if wd.ctx.Err() != nil || wd.decided.Load() {
+		return // stopped or committed during the last check
 	}
 	now, patience := time.Since(processStart), wd.patience()
 	step := wd.watch.Check(now, wd.silence(now), patience)
@@ -157,7 +158,7 @@
 	case detector.Wait:
 		wd.timer.Reset(step.Wait)
 	case detector.AbandonLost:
-		wd.cancel(errLost)
+		wd.abandon(errLost)
 	default:
 		wd.replaceAttempt()
 	}
@@ -167,13 +168,29 @@
 // for a while: without a replacement its response is worth waiting for.
 func (wd *watchdog) replaceAttempt() {
 	if wd.ticket.Unresponsive(wd.ctx, wd.attempt, wd.target.Endpoint, wd.responds) {
-		wd.cancel(errInactive)
+		wd.abandon(errInactive)
 		return
 	}
 	now := time.Since(processStart)
 	wd.timer.Reset(wd.watch.Kept(now, wd.silence(now)).Wait)
 }
 
+func (wd *watchdog) abandon(cause error) {
+	if wd.decided.CompareAndSwap(false, true) {
+		wd.cancel(cause)
+	}
+}
+
+// commit ends the watch, because no other attempt can continue the response. It returns the cause if the attempt has
+// been abandoned before.
+func (wd *watchdog) commit() error {
+	if wd.decided.CompareAndSwap(false, true) {
+		return nil
+	}
+	<-wd.ctx.Done()
+	return context.Cause(wd.ctx)
+}
+
 // responds reports whether an engine answers a call for its report.
 func (wd *watchdog) responds(name namer.Endpoint) bool {
 	target, known := wd.relayer.Target(name)
