relayer: Don't take a slow caller for a silent endpoint

Streams of callers that read slowly left their endpoint, and were cut where no other took them. Cause: the time for which a write to the caller blocks counted as silence of the endpoint, both for the watchdog and for what it learns about usual pauses. Ruled out: the endpoint; it had sent all events that the buffers hold. Change: an event counts as progress before it is written, and no silence counts until it has been.

--- a/relayer/events.go
+++ b/relayer/events.go
@@ -47,14 +47,7 @@
 		n, err := response.Body.Read(chunk)
 		if n > 0 {
 			x.stream.partial = append(x.stream.partial, chunk[:n]...)
-			sent, writeErr := x.writeEvents(action, response)
-			if sent {
-				wd.progress()
-			}
-			if writeErr == nil && sent {
-				writeErr = flusher.Flush()
-			}
-			if writeErr != nil {
+			if err := x.passEvents(wd, action, response, flusher); err != nil {
 				x.abortResponse(classifier.CallerDisconnected)
 				return true
 			}
@@ -74,12 +67,15 @@
 	}
 }
 
-// writeEvents sends the complete events received so far to the caller. It reports whether there were any.
-func (x *exchange) writeEvents(action decider.Action, response *forwarder.Response) (bool, error) {
+// passEvents sends the complete events received so far to the caller.
+func (x *exchange) passEvents(wd *watchdog, action decider.Action, response *forwarder.Response, to *http.ResponseController) error {
 	end := bytes.LastIndex(x.stream.partial, []byte("\n\n"))
 	if end < 0 {
-		return false, nil
+		return nil
 	}
+	wd.progress()
+	wd.pause()
+	defer wd.resume()
 	complete := x.stream.partial[:end+2]
 	if !x.headerSent {
 		response.Header.Del("Content-Length") // another endpoint may continue the stream
@@ -89,12 +85,12 @@
 		x.ticket.Started(action.Attempt, action.Endpoint)
 	}
 	if _, err := x.w.Write(complete); err != nil {
-		return true, errors.Wrap(err, "write events")
+		return errors.Wrap(err, "write events")
 	}
 	x.stream.recordSent(time.Now())
 	x.countEvents(complete)
 	x.stream.partial = x.stream.partial[:copy(x.stream.partial, x.stream.partial[end+2:])]
-	return true, nil
+	return errors.Wrap(to.Flush(), "write events")
 }
 
 // recordSent records when events were sent to the caller.
--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -98,6 +98,7 @@
 	ctx            context.Context
 	timer          *time.Timer // nil if no other attempt can follow
 	decided        atomic.Bool // the attempt has been committed or abandoned
+	paused         atomic.Bool // the caller is being written to
 
 	watch detector.Watch // used only by check, which does not run concurrently with itself
 }
@@ -133,6 +134,9 @@
 }
 
 func (wd *watchdog) silence(now time.Duration) detector.Silence {
+	if wd.paused.Load() {
+		return detector.Silence{}
+	}
 	own := now - time.Duration(wd.lastOwn.Load())
 	return detector.Silence{Attempt: own, Endpoint: min(own, now-time.Duration(wd.lastActive.Load()))}
 }
@@ -191,6 +195,15 @@
 	return context.Cause(wd.ctx)
 }
 
+// pause stops counting silence while the caller is written to; a slow caller blocks that.
+func (wd *watchdog) pause() { wd.paused.Store(true) }
+
+// resume counts silence again, from now on.
+func (wd *watchdog) resume() {
+	wd.lastOwn.Store(int64(time.Since(processStart)))
+	wd.paused.Store(false)
+}
+
 // responds reports whether an engine answers a call for its report.
 func (wd *watchdog) responds(name namer.Endpoint) bool {
 	target, known := wd.relayer.Target(name)
