relayer: Don't send a response that is no stream as the rest of one

Callers saw foreign bytes at the end of a stream that looked complete. Cause: a stream that is resumed at another endpoint was continued with whatever signed success came from there. The body of one that is no event stream was written behind the events, and the header a second time, which net/http ignores. Ruled out: error statuses, which already count as a broken response once the header has been sent. Change: so does a success that is no event stream.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -77,6 +77,8 @@
 		return x.handleErrorStatus(ctx, action, response)
 	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
 		return x.relayStream(ctx, wd, action, response)
+	case x.headerSent:
+		return x.handleBrokenResponse(ctx, action, errors.New("response does not continue the stream"))
 	}
 	return x.passResponse(ctx, wd, action, response)
 }
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -68,6 +68,18 @@
 	is.Equal(f.send("POST", "/stream/", "").status, http.StatusBadGateway)
 }
 
+// Guards against a response that is no stream and is sent as the rest of one.
+func TestStreamContinuesOnlyAsStream(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, dispatchTo("a", "b", "c")...)
+	f.endpoint("a", streamFrom(2, abortConnection))
+	f.endpoint("b", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "other") })
+	f.endpoint("c", streamFrom(4, func() {}))
+	got := f.send("POST", "/resumed/", "")
+	is.Equal(got.body, events(4))
+	is.True(got.complete)
+}
+
 // Guards against a stream that restarts from the beginning when the caller resumes it.
 func TestCallerResumesFromLastEvent(t *testing.T) {
 	is := is.New(t)
