forwarder: Reject responses with a status below 100 or 101

Callers saw their connection closed without an answer. Cause: a response with a status below 100, if signed, reached WriteHeader of net/http, which panics on it; net/http recovers the handler's panic and closes the connection. 101 would have been passed on, although no call asks for another protocol. Ruled out: other three-digit statuses; WriteHeader takes all of them. Change: such a response is malformed, like any other. Figures: two more cases of TestMalformedResponses before: no error; after: an error. Conclusion: mended; only an endpoint in trouble sends such a head.

--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -137,7 +137,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
+		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.Errorf("unexpected status %d", response.StatusCode)
+		}
+		if response.StatusCode < 200 {
 			if informational++; informational > maxInformational {
 				return nil, errors.New("too many informational responses")
 			}
--- a/forwarder/conn_test.go
+++ b/forwarder/conn_test.go
@@ -211,6 +211,8 @@
 	for name, text := range map[string]string{
 		"nothing":            "",
 		"not HTTP":           "what?\r\n\r\n",
+		"status below 100":   "HTTP/1.1 042 OK\r\nContent-Length: 0\r\n\r\n",
+		"change of protocol": "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
 		"cut in the header":  "HTTP/1.1 200 OK\r\nContent-",
 		"cut in the body":    "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345",
 		"cut in a chunk":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n123",
