relayer: Test that a request leaves an endpoint that is gone

Cause: no test covered a target that disappears between the decision and the attempt, as after a change of the endpoints' entries. Ruled out: a request that fails there; it is reported as not run, and an order goes to the next endpoint.

--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -118,6 +118,17 @@
 	is.Equal(got.body, "its own")
 }
 
+// Guards against a request that fails because its endpoint is gone before it was sent.
+func TestUnknownEndpointIsReplaced(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, dispatchTo("gone", "b")...)
+	f.endpoint("b", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "good") })
+	is.Equal(f.send("POST", "/unsafe/", "order").body, "good")
+	failed := f.core.waitEvents(1)[0]
+	is.Equal(failed.Reason, classifier.RetryEndpointLeaving)
+	is.True(failed.NotRun)
+}
+
 // Guards against responses after the caller's deadline or the route's timeout.
 func TestDeadline(t *testing.T) {
 	for name, c := range map[string]struct {
