relayer: Tell the core when an engine has ended under a request

Ruled out: taking the end of the engine's entry as evidence: it comes a second or more later. The error of the broken attempt alone: a reset connection gives the same one. A report fetched before the attempt broke: it is asked again, or it would hide the end. Comparing "born" of the report: the restart takes seconds and the question comes at once. Change: when an attempt at an engine breaks off in the generating stage, and neither the watchdog nor the caller ended it, its report is asked for through the shared cache: a refused connection, or another instance that answers, sets decider.Event.Ended. A retry waits a quarter of the route's target for it at the most (of the target of gaps, once events were sent). Calls for a report carry the expected instance; forwarder keeps the cause of a failed dial. attempt-failed logs ended and the prompt's parts, request-refused the parts. Conclusion: Ended is set; nothing reads it yet. The watchdog's questions carry the expected instance now too. A request that a pooled connection brings to a process that had ended before counts as ended as well.

--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -59,6 +59,12 @@
 	t.report(decider.Event{Kind: decider.EventFailed, Attempt: attempt, Endpoint: at, Reason: reason, NotRun: notRun, OutputTokens: output})
 }
 
+// EndpointEnded reports that an attempt has failed because the process of its endpoint has ended. The core responds
+// with an action.
+func (t *Ticket) EndpointEnded(attempt namer.Attempt, at namer.Endpoint, reason classifier.RetryReason, output namer.Tokens) {
+	t.report(decider.Event{Kind: decider.EventFailed, Attempt: attempt, Endpoint: at, Reason: reason, Ended: true, OutputTokens: output})
+}
+
 // Refused reports that an attempt has failed without executing the request. retryAfter is how long the
 // endpoint wants no requests from this daemon; 0 if it does not say.
 func (t *Ticket) Refused(attempt namer.Attempt, at namer.Endpoint, reason classifier.RetryReason, retryAfter time.Duration, output namer.Tokens) {
--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -58,7 +59,7 @@
 	}
 	conn, err := c.acquireConn(ctx, to, call.MaxIdle)
 	if err != nil {
-		return nil, errors.Wrap(ErrNotSent, err.Error())
+		return nil, fmt.Errorf("%w: %w", err, ErrNotSent)
 	}
 	return conn.roundTrip(ctx, c, call)
 }
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -125,8 +125,7 @@
 	if notRun && abandoned(ctx) == "" {
 		reason = classifier.RetryConnectFailed
 	}
-	x.logAttemptFailure(action, reason, err)
-	x.ticket.Failed(action.Attempt, action.Endpoint, reason, notRun, x.stream.events)
+	x.reportBroken(action, reason, notRun, err)
 	return false
 }
 
@@ -146,9 +145,7 @@
 	if x.endIfDone(ctx) {
 		return true
 	}
-	reason := cmp.Or(abandoned(ctx), classifier.RetryStreamBroken)
-	x.logAttemptFailure(action, reason, err)
-	x.ticket.Failed(action.Attempt, action.Endpoint, reason, false, x.stream.events)
+	x.reportBroken(action, cmp.Or(abandoned(ctx), classifier.RetryStreamBroken), false, err)
 	return false
 }
 
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -27,8 +27,9 @@
 	ReleaseCall(handle Handle) (method, path string)
 	// Patience returns how long a caller waits for an event of a stream with the given targets.
 	Patience(target, targetGap time.Duration) time.Duration
-	// ReportCall returns the method and path of the call for an engine's load report.
-	ReportCall() (method, path string)
+	// ReportCall returns the method, path and header of the call for an engine's load report. Another endpoint
+	// that uses the address must not answer it.
+	ReportCall(to namer.Endpoint) (method, path string, header http.Header)
 	// DecodeReport parses a load report.
 	DecodeReport(status int, body []byte) (detector.Report, error)
 	// RetryAfter sets the header that tells the caller when to retry.
--- /dev/null
+++ b/relayer/ended.go
@@ -0,0 +1,76 @@
+package relayer
+
+import (
+	"cmp"
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"apricotspool/classifier"
+	"apricotspool/decider"
+	"apricotspool/forwarder"
+)
+
+const (
+	// endedShare is the share of a route's target, as its divisor, that a retry may wait for evidence that the
+	// endpoint has ended.
+	endedShare = 4
+	// maxEndedCalls bounds the calls for a report after one failed attempt. The first one may have started
+	// before the failure, and the next one may break with a pooled connection.
+	maxEndedCalls = 3
+)
+
+// errReplaced means that another endpoint uses the address.
+var errReplaced = errors.New("another endpoint uses the address")
+
+// reportBroken reports an attempt that got no complete response, and whether its endpoint has ended.
+func (x *exchange) reportBroken(action decider.Action, reason classifier.RetryReason, notRun bool, err error) {
+	event := x.attemptFailure(action, reason, err)
+	if reason != classifier.RetryStreamBroken || !x.endpointEnded(action) {
+		event.Msg("attempt-failed")
+		x.ticket.Failed(action.Attempt, action.Endpoint, reason, notRun, x.stream.events)
+		return
+	}
+	event.Bool("ended", true).Msg("attempt-failed")
+	x.ticket.EndpointEnded(action.Attempt, action.Endpoint, reason, x.stream.events)
+}
+
+// endpointEnded reports whether the engine of a broken attempt is known to have ended. It doesn't wait long for
+// one that is silent.
+func (x *exchange) endpointEnded(action decider.Action) bool {
+	target, known := x.relayer.Target(action.Endpoint)
+	if !x.engine || !known {
+		return false
+	}
+	limit := cmp.Or(x.route.Target, defaultTarget)
+	if x.stream.events > 0 {
+		limit = cmp.Or(x.route.TargetGap, limit)
+	}
+	ctx, cancel := context.WithTimeout(x.r.Context(), limit/endedShare)
+	defer cancel()
+	return x.relayer.reports.ended(ctx, x.relayer, target)
+}
+
+// ended reports whether an endpoint's process is known to have ended. An answer to an earlier call doesn't show
+// that the endpoint is still there.
+func (c *reportCache) ended(ctx context.Context, r *Relayer, target forwarder.Target) bool {
+	since := time.Now()
+	var call *reportCall
+	for range maxEndedCalls {
+		call = c.join(r, target, call)
+		select {
+		case <-call.done:
+		case <-ctx.Done():
+			return false
+		}
+		switch {
+		case errors.Is(call.err, syscall.ECONNREFUSED) || errors.Is(call.err, errReplaced):
+			return true
+		case call.err == nil && !call.startedAt.Before(since):
+			return false
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/relayer/ended_test.go
@@ -0,0 +1,107 @@
+package relayer_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"apricotspool/classifier"
+	"apricotspool/detector"
+	"apricotspool/forwarder"
+)
+
+// closableEngine starts engine "a", which handles requests with respond and is closed through its server.
+func (f *fixture) closableEngine(respond func(*http.Server, http.ResponseWriter, *http.Request)) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(f.t).NoErr(err)
+	server := &http.Server{}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { respond(server, w, r) })
+	go server.Serve(listener)
+	f.t.Cleanup(func() { server.Close() })
+	f.targets["a"] = forwarder.Target{Endpoint: "a", Address: netip.MustParseAddrPort(listener.Addr().String())}
+}
+
+func endProcess(server *http.Server, _ http.ResponseWriter, _ *http.Request) {
+	server.Close()
+	abortConnection()
+}
+
+// Guards against a process that has ended being taken for a broken connection, against the reverse, and against
+// a retry that waits for an engine that is silent.
+func TestEndedEngineIsTold(t *testing.T) {
+	replace := func(f *fixture) func(*http.Server, http.ResponseWriter, *http.Request) {
+		return func(server *http.Server, _ http.ResponseWriter, _ *http.Request) {
+			server.Close()
+			listener, err := net.Listen("tcp", f.targets["a"].Address.String())
+			is.New(f.t).NoErr(err)
+			successor := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			})}
+			go successor.Serve(listener)
+			f.t.Cleanup(func() { successor.Close() })
+			abortConnection()
+		}
+	}
+	breakOff := func(http.ResponseWriter, *http.Request) { abortConnection() }
+	for name, c := range map[string]struct {
+		start func(*fixture)
+		ended bool
+	}{
+		"ended":    {func(f *fixture) { f.closableEngine(endProcess) }, true},
+		"replaced": {func(f *fixture) { f.closableEngine(replace(f)) }, true},
+		"alive": {func(f *fixture) {
+			f.reportEndpoint("a", func() (detector.Report, bool) { return detector.Report{}, true }, breakOff)
+		}, false},
+		"silent": {func(f *fixture) {
+			f.reportEndpoint("a", func() (detector.Report, bool) { return detector.Report{}, false }, breakOff)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, dispatchTo("a", "b")...)
+			c.start(f)
+			f.endpoint("b", streamFrom(3, func() {}))
+			start := time.Now()
+			is.Equal(f.send("POST", "/engine/", "").body, events(3))
+			is.True(time.Since(start) < 300*time.Millisecond)
+			failed := f.core.waitEvents(1)[0]
+			is.Equal(failed.Reason, classifier.RetryStreamBroken)
+			is.True(!failed.NotRun)
+			is.Equal(failed.Ended, c.ended)
+			is.Equal(len(f.log.requestLines(t, "id-1")), 4)
+			is.Equal(f.log.requestLines(t, "id-1", "ended")[1] == "attempt-failed ended=true", c.ended)
+		})
+	}
+}
+
+// Guards against an earlier report of an engine that hides its end.
+func TestReportBeforeTheEndIsStale(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, dispatchTo("a", "b", "a", "b")...)
+	requests := 0
+	f.endpoint("b", streamFrom(3, func() {}))
+	f.closableEngine(func(server *http.Server, w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/report" {
+			io.WriteString(w, "{}")
+			return
+		}
+		if requests++; requests == 2 {
+			server.Close()
+		}
+		abortConnection()
+	})
+	f.send("POST", "/engine/", "")
+	f.send("POST", "/engine/", "")
+	var ended []bool
+	for _, e := range f.core.waitEvents(6) {
+		if e.Reason != "" {
+			ended = append(ended, e.Ended)
+		}
+	}
+	is.Equal(ended, []bool{false, true})
+}
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -35,7 +35,12 @@
 
 func (dialect) Decode(header http.Header) relayer.Call {
 	timeout, _ := strconv.Atoi(header.Get("X-Patience"))
-	return relayer.Call{ID: header.Get("X-Id"), Timeout: time.Duration(timeout) * time.Millisecond, LastEvent: header.Get("X-Last-Event")}
+	call := relayer.Call{ID: header.Get("X-Id"), Timeout: time.Duration(timeout) * time.Millisecond, LastEvent: header.Get("X-Last-Event")}
+	for id := range strings.FieldsSeq(header.Get("X-Parts")) {
+		number, _ := strconv.ParseUint(id, 16, 64)
+		call.Parts = append(call.Parts, decider.Part{ID: number, Tokens: 100})
+	}
+	return call
 }
 
 func (dialect) Encode(header http.Header, a relayer.Attempt) {
@@ -46,8 +51,10 @@
 	header.Set("X-Prefill", strconv.FormatBool(a.Prefill))
 }
 
-func (dialect) Classify(_ int, header http.Header) relayer.Verdict {
-	return relayer.Verdict{NotRun: header.Get("X-Not-Run") != "", Signed: header.Get("X-Stamp") != ""}
+func (dialect) Classify(status int, header http.Header) relayer.Verdict {
+	return relayer.Verdict{
+		NotRun: header.Get("X-Not-Run") != "", Signed: header.Get("X-Stamp") != "", WrongEndpoint: status == http.StatusMisdirectedRequest,
+	}
 }
 
 func (dialect) DecodeHandle(at netip.AddrPort, status int, body []byte) (relayer.Handle, error) {
@@ -64,7 +71,9 @@
 
 func (dialect) Patience(time.Duration, time.Duration) time.Duration { return 0 }
 
-func (dialect) ReportCall() (string, string) { return http.MethodGet, "/report" }
+func (dialect) ReportCall(to namer.Endpoint) (string, string, http.Header) {
+	return http.MethodGet, "/report", http.Header{"X-Endpoint": {string(to)}}
+}
 
 func (dialect) DecodeReport(status int, body []byte) (detector.Report, error) {
 	if status != http.StatusOK {
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,6 +23,7 @@
 	switch a.Kind {
 	case decider.ActionRefuse:
 		event.Str("outcome", string(a.Outcome)).Int("usable", a.Basis.Usable).Dur("retry-after-ms", a.RetryAfter)
+		x.addParts(event)
 	default:
 		event.Str("endpoint", string(a.Endpoint)).Int("attempt", int(a.Attempt)).Bool("prompt-only", a.Kind == decider.ActionPrefill).
 			Int("priority", a.Priority).Dur("expected-ms", a.Basis.Expected).Dur("waiting-ms", a.Basis.QueueingTime).Dur("news-age-ms", a.Basis.LoadAge)
@@ -41,11 +43,30 @@
 	}
 }
 
-// logAttemptFailure logs why an attempt failed, and keeps the reason for the line of the request's outcome.
+// addParts adds the ids of the prompt's parts, in order.
+func (x *exchange) addParts(event *zerolog.Event) {
+	if len(x.call.Parts) == 0 {
+		return
+	}
+	ids := zerolog.Arr()
+	for _, part := range x.call.Parts {
+		ids.Str(strconv.FormatUint(part.ID, 16))
+	}
+	event.Array("parts", ids)
+}
+
+// logAttemptFailure logs why an attempt failed.
 func (x *exchange) logAttemptFailure(a decider.Action, reason classifier.RetryReason, err error) {
+	x.attemptFailure(a, reason, err).Msg("attempt-failed")
+}
+
+// attemptFailure returns the line about a failed attempt, and keeps the reason for the line of the request's outcome.
+func (x *exchange) attemptFailure(a decider.Action, reason classifier.RetryReason, err error) *zerolog.Event {
 	x.lastFailure = reason
-	x.relayer.Log.Warn().Err(err).Str("request", x.call.ID).Str("endpoint", string(a.Endpoint)).Int("attempt", int(a.Attempt)).
-		Str("reason", string(reason)).Bool("may-have-run", x.mayHaveRun).Msg("attempt-failed")
+	event := x.relayer.Log.Warn().Err(err).Str("request", x.call.ID).Str("endpoint", string(a.Endpoint)).Int("attempt", int(a.Attempt)).
+		Str("reason", string(reason)).Bool("may-have-run", x.mayHaveRun)
+	x.addParts(event)
+	return event
 }
 
 // logOutcome logs the outcome of the request.
--- a/relayer/log_test.go
+++ b/relayer/log_test.go
@@ -30,14 +30,14 @@
 	}
 	f.endpoint("a", refuse)
 	f.endpoint("b", refuse)
-	is.Equal(f.send("POST", "/unsafe/", "x").status, 503)
+	is.Equal(f.send("POST", "/unsafe/", "x", "X-Parts", "5c1e07a2 91bd3f06").status, 503)
 	is.Equal(f.log.requestLines(t, "id-1", "endpoint", "attempt", "priority", "expected-ms", "waiting-ms", "news-age-ms", "declined", "usable", "late",
-		"reason", "error", "outcome", "may-have-run", "version", "repeats-after", "retry-after-ms"), []string{
+		"reason", "error", "outcome", "may-have-run", "parts", "version", "repeats-after", "retry-after-ms"), []string{
 		"attempt-started endpoint=a attempt=1 priority=2 expected-ms=40 waiting-ms=30 news-age-ms=20 declined=1 late=false",
-		"attempt-failed endpoint=a attempt=1 reason=endpoint-refused error=status 503 may-have-run=false",
+		"attempt-failed endpoint=a attempt=1 reason=endpoint-refused error=status 503 may-have-run=false parts=[5c1e07a2 91bd3f06]",
 		"attempt-started endpoint=b attempt=2 priority=0 expected-ms=0 waiting-ms=0 news-age-ms=0 declined=0 late=false repeats-after=endpoint-refused",
-		"attempt-failed endpoint=b attempt=2 reason=endpoint-refused error=status 503 may-have-run=false",
-		"request-refused declined=2 usable=5 late=true outcome=endpoint-refused retry-after-ms=250",
+		"attempt-failed endpoint=b attempt=2 reason=endpoint-refused error=status 503 may-have-run=false parts=[5c1e07a2 91bd3f06]",
+		"request-refused declined=2 usable=5 late=true outcome=endpoint-refused parts=[5c1e07a2 91bd3f06] retry-after-ms=250",
 		"request-ended outcome=endpoint-refused may-have-run=false version=1",
 	})
 }
--- a/relayer/reports.go
+++ b/relayer/reports.go
@@ -29,33 +29,40 @@
 
 // reportCall is a call for a report. report and err are valid once done is closed.
 type reportCall struct {
-	done   chan struct{}
-	endsAt time.Time // until then the result is reused
-	report detector.Report
-	err    error
+	done      chan struct{}
+	startedAt time.Time
+	endsAt    time.Time // until then the result is reused
+	report    detector.Report
+	err       error
 }
 
 // ask returns a report of an endpoint that is at most detector.ReportLag old, or an error if the endpoint doesn't
 // respond.
 func (c *reportCache) ask(ctx context.Context, r *Relayer, target forwarder.Target) (detector.Report, error) {
+	call := c.join(r, target, nil)
+	select {
+	case <-call.done:
+		return call.report, call.err
+	case <-ctx.Done():
+		return detector.Report{}, ctx.Err()
+	}
+}
+
+// join returns the current call to an endpoint, or a new one if there is none or it is the stale one.
+func (c *reportCache) join(r *Relayer, target forwarder.Target, stale *reportCall) *reportCall {
 	now := time.Now()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	call := c.calls[target.Endpoint]
-	if call == nil || now.After(call.endsAt) {
-		call = &reportCall{done: make(chan struct{}), endsAt: now.Add(reportTimeout)}
+	if call == nil || call == stale || now.After(call.endsAt) {
+		call = &reportCall{done: make(chan struct{}), startedAt: now, endsAt: now.Add(reportTimeout)}
 		if c.calls == nil {
 			c.calls = map[namer.Endpoint]*reportCall{}
 		}
 		c.calls[target.Endpoint] = call
 		go c.fetch(r, target, call)
 	}
-	c.mu.Unlock()
-	select {
-	case <-call.done:
-		return call.report, call.err
-	case <-ctx.Done():
-		return detector.Report{}, ctx.Err()
-	}
+	return call
 }
 
 func (c *reportCache) fetch(r *Relayer, target forwarder.Target, call *reportCall) {
@@ -75,8 +82,8 @@
 }
 
 func (r *Relayer) fetchReport(ctx context.Context, target forwarder.Target) (detector.Report, error) {
-	method, path := r.Dialect.ReportCall()
-	response, err := r.Endpoints.Forward(ctx, target, forwarder.Call{Method: method, Path: path})
+	method, path, header := r.Dialect.ReportCall(target.Endpoint)
+	response, err := r.Endpoints.Forward(ctx, target, forwarder.Call{Method: method, Path: path, Header: header})
 	if err != nil {
 		return detector.Report{}, err
 	}
@@ -85,5 +92,8 @@
 	if err != nil {
 		return detector.Report{}, errors.Wrap(err, "read report")
 	}
+	if r.Dialect.Classify(response.Status, response.Header).WrongEndpoint {
+		return detector.Report{}, errReplaced
+	}
 	return r.Dialect.DecodeReport(response.Status, body)
 }
