--- a/assembler/gateway_test.go
+++ b/assembler/gateway_test.go
@@ -39,6 +39,7 @@
 	s.api = &http.Server{Handler: &platformtest.StoreHandler{Store: &s.Store}}
 	go s.api.Serve(listener)
 	t.Cleanup(func() { s.api.Close() })
+	t.Cleanup(s.Close)
 	return s
 }
 
