--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -127,8 +127,7 @@
 	if notRun {
 		reason = classifier.RetryConnectFailed // also if the watchdog ended the attempt to connect
 	}
-	x.logAttemptFailure(action, reason, err)
-	x.ticket.Failed(action.Attempt, action.Endpoint, reason, notRun, x.stream.events)
+	x.reportBroken(action, reason, notRun, err)
 	return false
 }
 
@@ -148,9 +147,7 @@
 	if x.endIfDone(ctx) {
 		return true
 	}
-	reason := cmp.Or(abandoned(ctx), classifier.RetryStreamBroken)
-	x.logAttemptFailure(action, reason, err)
-	x.ticket.Failed(action.Attempt, action.Endpoint, reason, false, x.stream.events)
+	x.reportBroken(action, cmp.Or(abandoned(ctx), classifier.RetryStreamBroken), false, err)
 	return false
 }
 
