--- a/relayer/watchdog_test.go
+++ b/relayer/watchdog_test.go
@@ -1,8 +1,10 @@
 package relayer_test
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -36,10 +38,11 @@
 func TestSlowCallerIsNoSilence(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, dispatchTo("a", "b")...)
+	const events = 100
 	text := strings.Repeat("x", 50_000)
 	f.endpoint("a", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
-		for id := range 400 { // more than the buffers of the connections hold
+		for id := range events { // more than the buffers of the caller's connection hold
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id+1, text); err != nil {
 				return
 			}
@@ -50,13 +53,21 @@
 	r, err := http.NewRequest("POST", f.server.URL+"/resumed/", nil)
 	is.NoErr(err)
 	r.Host = "h"
-	response, err := f.server.Client().Do(r)
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil {
+			err = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+		}
+		return conn, err
+	}}}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(r)
 	is.NoErr(err)
 	defer response.Body.Close()
-	time.Sleep(2 * time.Second)
+	time.Sleep(1500 * time.Millisecond)
 	body, err := io.ReadAll(response.Body)
 	is.NoErr(err)
-	is.Equal(strings.Count(string(body), "\n\n"), 400)
+	is.Equal(strings.Count(string(body), "\n\n"), events)
 	is.Equal(others.Load(), int32(0))
 	is.Equal(f.core.waitKinds(2), []decider.EventKind{decider.EventStarted, decider.EventFinished})
 }
