--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -36,7 +36,7 @@
 	}
 	prefill := action.Kind == decider.ActionPrefill
 	ctx, wd := x.relayer.startWatchdog(ctx, watched{
-		target: target, kind: callKind{service: x.service, prefill: prefill}, callID: x.call.ID, predicted: action.Basis.Expected,
+		target: target, kind: callKind{service: x.service, prefill: prefill}, callID: x.call.ID, attempt: action.Attempt, ticket: x.ticket, predicted: action.Basis.Expected,
 		latency: x.route.Target, deadline: x.deadline, reports: x.engine,
 		replace: !action.FinalAttempt && (prefill || x.route.Repeatable() || action.Backup != ""),
 	})
@@ -124,11 +124,10 @@
 		return true
 	}
 	reason := cmp.Or(abandoned(ctx), classifier.RetryStreamBroken)
-	if notRun && abandoned(ctx) == "" {
-		reason = classifier.RetryConnectFailed
+	if notRun {
+		reason = classifier.RetryConnectFailed // also if the watchdog ended the attempt to connect
 	}
-	x.logAttemptFailure(action, reason, err)
-	x.ticket.Failed(action.Attempt, action.Endpoint, reason, notRun, x.stream.events)
+	x.reportBroken(action, reason, notRun, err)
 	return false
 }
 
@@ -148,9 +147,7 @@
 	if x.endIfDone(ctx) {
 		return true
 	}
-	reason := cmp.Or(abandoned(ctx), classifier.RetryStreamBroken)
-	x.logAttemptFailure(action, reason, err)
-	x.ticket.Failed(action.Attempt, action.Endpoint, reason, false, x.stream.events)
+	x.reportBroken(action, cmp.Or(abandoned(ctx), classifier.RetryStreamBroken), false, err)
 	return false
 }
 
@@ -212,8 +209,7 @@
 	}
 	x.reportFinished(action, 0)
 	if err != nil {
-		x.recordOutcome(classifier.EndpointFailed)
-		x.abort = true
+		x.abortResponse(classifier.EndpointFailed)
 		return true
 	}
 	x.recordOutcome(classifier.Served)
