--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -12,13 +12,14 @@
 
 	"apricotspool/classifier"
 	"apricotspool/detector"
+	"apricotspool/dispatcher"
 	"apricotspool/forwarder"
 	"apricotspool/namer"
 )
 
 // Causes of contexts that the watchdog cancelled.
 var (
-	errInactive = errors.New("endpoint is unresponsive")
+	errInactive = errors.New("endpoint is unresponsive") // and another attempt follows
 	errLost     = errors.New("endpoint no longer has the request")
 )
 
@@ -76,11 +77,13 @@
 	target    forwarder.Target
 	kind      callKind
 	callID    string
+	attempt   namer.Attempt
+	ticket    *dispatcher.Ticket
 	predicted time.Duration // until the first event
 	latency   time.Duration // the route's latency target
 	deadline  time.Time
 	reports   bool // the endpoint reports its load
-	replace   bool // another attempt can follow
+	replace   bool // another attempt may follow
 }
 
 // watchdog cancels the context of an attempt that will get no response; see detector.Watch.
@@ -94,6 +97,8 @@
 	cancel         context.CancelCauseFunc
 	ctx            context.Context
 	timer          *time.Timer // nil if no other attempt can follow
+	decided        atomic.Bool // the attempt has been committed or abandoned
+	paused         atomic.Bool // the caller is being written to
 
 	watch detector.Watch // used only by check, which does not run concurrently with itself
 }
@@ -129,12 +134,18 @@
 }
 
 func (wd *watchdog) silence(now time.Duration) detector.Silence {
+	if wd.paused.Load() {
+		return detector.Silence{}
+	}
 	own := now - time.Duration(wd.lastOwn.Load())
 	return detector.Silence{Attempt: own, Endpoint: min(own, now-time.Duration(wd.lastActive.Load()))}
 }
 
 // check is called by the timer.
 func (wd *watchdog) check() {
+	if wd.ctx.Err() != nil || wd.decided.Load() {
+		return // stopped or committed during the last check
+	}
 	now, patience := time.Since(processStart), wd.patience()
 	step := wd.watch.Check(now, wd.silence(now), patience)
 	if step.Action == detector.Ask {
@@ -151,10 +162,56 @@
 	case detector.Wait:
 		wd.timer.Reset(step.Wait)
 	case detector.AbandonLost:
-		wd.cancel(errLost)
+		wd.abandon(errLost)
 	default:
-		wd.cancel(errInactive)
+		wd.replaceAttempt()
+	}
+}
+
+// replaceAttempt cancels the attempt if the core has another one that can follow. A sound endpoint may send nothing
+// for a while: without a replacement its response is worth waiting for.
+func (wd *watchdog) replaceAttempt() {
+	if wd.ticket.Unresponsive(wd.ctx, wd.attempt, wd.target.Endpoint, wd.responds) {
+		wd.abandon(errInactive)
+		return
+	}
+	now := time.Since(processStart)
+	wd.timer.Reset(wd.watch.Kept(now, wd.silence(now)).Wait)
+}
+
+func (wd *watchdog) abandon(cause error) {
+	if wd.decided.CompareAndSwap(false, true) {
+		wd.cancel(cause)
+	}
+}
+
+// commit ends the watch, because no other attempt can continue the response. It returns the cause if the attempt has
+// been abandoned before.
+func (wd *watchdog) commit() error {
+	if wd.decided.CompareAndSwap(false, true) {
+		return nil
+	}
+	<-wd.ctx.Done()
+	return context.Cause(wd.ctx)
+}
+
+// pause stops counting silence while the caller is written to; a slow caller blocks that.
+func (wd *watchdog) pause() { wd.paused.Store(true) }
+
+// resume counts silence again, from now on.
+func (wd *watchdog) resume() {
+	wd.lastOwn.Store(int64(time.Since(processStart)))
+	wd.paused.Store(false)
+}
+
+// responds reports whether an engine answers a call for its report.
+func (wd *watchdog) responds(name namer.Endpoint) bool {
+	target, known := wd.relayer.Target(name)
+	if !known {
+		return false
 	}
+	_, err := wd.relayer.reports.ask(wd.ctx, wd.relayer, target)
+	return err == nil
 }
 
 // progress records that the attempt has made progress: its response has begun, or a whole event has arrived.
