quarantiner: Convict parts earlier where many requests are lost

The test of chance took every part that was ever a suspect for a rival, and requests that had generated for up to 1 s for suspects. Change: only parts that have probably had as many requests count as rivals. A retry's ending counts as well, but three different requests are needed. A request is a suspect for max(0.25 s, its gap target) after its first event, and a success after twice that.

--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -72,7 +72,9 @@
 	finishedDelay namer.Seconds = 0.2
 	// minSuspectTime is the shortest time after the first event in which the end of an engine is noticed that
 	// the request has caused.
-	minSuspectTime namer.Seconds = 1
+	minSuspectTime namer.Seconds = 0.25
+	// soundRatio is the time after which a stream that goes on counts as a success, relative to that.
+	soundRatio = 2
 	// lostTTL is the time within which a failed attempt is explained by the end of its engine.
 	lostTTL  namer.Seconds = 2
 	maxLost                = 128
@@ -110,7 +112,7 @@
 }
 
 func (q *request) suspectTime() namer.Seconds {
-	return max(minSuspectTime, 2*namer.SecondsOf(q.TargetGap))
+	return max(minSuspectTime, namer.SecondsOf(q.TargetGap))
 }
 
 func (q *request) asSuspect() quarantiner.Suspect {
@@ -203,7 +205,7 @@
 		if q.attempt != s.attempt || q.stage != running || q.suspicion.cleared {
 			return true
 		}
-		if now-q.suspicion.startedAt <= q.suspectTime() {
+		if now-q.suspicion.startedAt <= soundRatio*q.suspectTime() {
 			return false
 		}
 		q.suspicion.cleared = true
--- a/quarantiner/block.go
+++ b/quarantiner/block.go
@@ -158,17 +158,17 @@
 }
 
 // Merge applies a block that another daemon has decided, or an earlier run of this one. It reports whether the
-// part was not blocked before, or not for as long.
+// part was not blocked before, or at a lower level.
 func (t *Table) Merge(now namer.Seconds, b Block) bool {
 	r := t.record(now, b.Part)
 	if b.Since <= r.soundAt || now > b.Until+blockTTL {
 		return false
 	}
 	for _, p := range b.Endings {
-		r.meet(p)
+		r.meet(p, b.Since)
 		r.add(counted{process: p, at: b.Since})
 	}
-	if r.block != nil && (r.block.level > b.Level || (r.block.level == b.Level && r.block.until >= b.Until-settleTime)) {
+	if r.block != nil && r.block.level >= b.Level {
 		return false
 	}
 	level := min(max(b.Level, 0), MaxLevel)
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -46,11 +46,13 @@
 var Never = namer.Seconds(math.Inf(-1))
 
 const (
-	// minEndings is the smallest number of counted endings that blocks a part.
-	minEndings = 3
+	// minRequests is the smallest number of requests whose counted endings block a part. One that is repeated may end
+	// engines by what it shares with no other.
+	minRequests = 3
 	// maxCounted and maxPresent limit the endings that are kept of a part.
 	maxCounted = 16
 	maxPresent = 32
+	maxLosses  = 8
 	// settleTime is the time in which engines that fail together are noticed, and in which all daemons have
 	// reported one ending.
 	settleTime namer.Seconds = 0.1
@@ -78,11 +80,12 @@
 // record is the evidence about a part.
 type record struct {
 	part         Part
-	service      namer.Service // of the last ending
-	depth        int           // position in the prompt
-	endings      []counted     // since the last success
-	present      []Process     // all that have ended with it among the suspects since
-	soundAt      namer.Seconds // last known success
+	service      namer.Service   // of the last ending
+	depth        int             // position in the prompt
+	endings      []counted       // since the last success
+	present      []Process       // all that have ended with it among the suspects since
+	losses       []namer.Seconds // endings with it among the suspects, also before the last success
+	soundAt      namer.Seconds   // last known success
 	usedAt       namer.Seconds
 	watchedUntil namer.Seconds // the next success is reported
 	block        *block
@@ -162,7 +165,7 @@
 		for depth, part := range s.Parts {
 			r := t.record(now, part)
 			r.depth, r.service = depth, e.Service
-			if r.count(e, s) && len(r.endings) >= minEndings {
+			if r.count(e, s) && r.requests() >= minRequests {
 				t.candidates[part] = r
 			}
 		}
@@ -177,7 +180,7 @@
 		for _, part := range s.Parts {
 			if r := t.records[part]; r != nil && r.block != nil {
 				r.usedAt = now
-				r.meet(e.Process)
+				r.meet(e.Process, e.At)
 				r.add(counted{e.Process, s.Request, e.At})
 				explained = true
 			}
@@ -194,17 +197,12 @@
 	if n := len(r.endings); n > 0 && e.At-r.endings[n-1].at > evidenceTTL {
 		r.endings, r.present = nil, nil
 	}
-	r.meet(e.Process)
+	r.meet(e.Process, e.At)
 	if n := len(r.endings); n > 0 {
 		last := r.endings[n-1].at
 		if s.DispatchedAt <= last+settleTime {
 			return false
 		}
-		for _, c := range r.endings {
-			if c.request == s.Request {
-				return false
-			}
-		}
 	}
 	return r.add(counted{e.Process, s.Request, e.At})
 }
@@ -225,11 +223,23 @@
 	return slices.ContainsFunc(r.endings, func(c counted) bool { return c.process == p })
 }
 
+// requests returns the number of requests whose endings count.
+func (r *record) requests() int {
+	n := 0
+	for i, c := range r.endings {
+		if !slices.ContainsFunc(r.endings[:i], func(before counted) bool { return before.request == c.request }) {
+			n++
+		}
+	}
+	return n
+}
+
 // meet records that a part was among the suspects of an ending.
-func (r *record) meet(p Process) {
+func (r *record) meet(p Process, at namer.Seconds) {
 	if slices.Contains(r.present, p) {
 		return
 	}
+	r.losses = append(r.losses[max(0, len(r.losses)-maxLosses+1):], at)
 	if len(r.present) >= maxPresent {
 		r.present = slices.Delete(r.present, 0, 1)
 	}
@@ -335,9 +345,9 @@
 func (t *Table) Due(now namer.Seconds) []Part {
 	var due []*record
 	for part, r := range t.candidates {
-		if r.block != nil || len(r.endings) < minEndings {
+		if r.block != nil || r.requests() < minRequests {
 			delete(t.candidates, part)
-		} else if last := r.endings[len(r.endings)-1].at; len(r.endings) >= minEndings && now >= last+settleTime && now < last+dueTime {
+		} else if last := r.endings[len(r.endings)-1].at; now >= last+settleTime && now < last+dueTime {
 			due = append(due, r)
 		}
 	}
--- a/quarantiner/tally.go
+++ b/quarantiner/tally.go
@@ -94,13 +94,24 @@
 	if r == nil || len(r.endings) == 0 {
 		return false
 	}
-	suspects := 0 // since the first ending
+	others := max(0, lost-len(r.endings))
+	chance := float64(others+1) / float64(others+served+2) // of one request to be lost
+	expected := chance * float64(len(r.endings))           // losses of a part with as many requests
+	alike := 0
 	for _, other := range t.records {
-		if other.usedAt >= r.endings[0].at {
-			suspects++
+		if float64(other.lossesSince(r.endings[0].at)) >= max(1, math.Floor(expected)) {
+			alike++
 		}
 	}
-	others := max(0, lost-len(r.endings))
-	chance := float64(others+1) / float64(others+served+2) // of one request to be lost
-	return float64(suspects)*math.Pow(chance, float64(len(r.endings))) <= significance
+	return float64(alike)*math.Pow(chance, float64(len(r.endings))) <= significance
+}
+
+func (r *record) lossesSince(at namer.Seconds) int {
+	n := 0
+	for _, loss := range r.losses {
+		if loss >= at {
+			n++
+		}
+	}
+	return n
 }
