placer: Fewer suspects per ending

Cause: where engines hold many streams, most suspects of an ending are sound, and the test of chance takes long. Change: a request is a suspect for 0.1 s and a quarter of its gap target after its first event, the time in which the relayer tells an ended engine; those that generated for longer count as not lost.

--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -70,11 +70,15 @@
 const (
 	// finishedDelay is the time for which an engine must survive a short response before it counts as a success.
 	finishedDelay namer.Seconds = 0.2
-	// minSuspectTime is the shortest time after the first event in which the end of an engine is noticed that
-	// the request has caused.
-	minSuspectTime namer.Seconds = 0.25
-	// soundRatio is the time after which a stream that goes on counts as a success, relative to that.
-	soundRatio = 2
+	// suspectTime is the time after the first event in which an engine ends that a request has caused to end, and in
+	// which the connection is known to be broken. The longer it is, the more sound requests are suspects.
+	suspectTime namer.Seconds = 0.1
+	// detectionShare is the share of the route's targets, as its divisor, in which the end is told from a broken
+	// connection.
+	detectionShare = 4
+	// A stream that goes on for minSoundTime, and soundRatio times as long as it is a suspect, counts as a success.
+	minSoundTime namer.Seconds = 0.5
+	soundRatio                 = 2
 	// lostTTL is the time within which a failed attempt is explained by the end of its engine.
 	lostTTL  namer.Seconds = 2
 	maxLost                = 128
@@ -112,7 +116,12 @@
 }
 
 func (q *request) suspectTime() namer.Seconds {
-	return max(minSuspectTime, namer.SecondsOf(q.TargetGap))
+	return suspectTime + namer.SecondsOf(cmp.Or(q.TargetGap, q.Target))/detectionShare
+}
+
+// soundTime returns the time after the first event at which a stream counts as a success.
+func (q *request) soundTime() namer.Seconds {
+	return max(minSoundTime, soundRatio*q.suspectTime())
 }
 
 func (q *request) asSuspect() quarantiner.Suspect {
@@ -205,7 +214,7 @@
 		if q.attempt != s.attempt || q.stage != running || q.suspicion.cleared {
 			return true
 		}
-		if now-q.suspicion.startedAt <= soundRatio*q.suspectTime() {
+		if now-q.suspicion.startedAt <= q.soundTime() {
 			return false
 		}
 		q.suspicion.cleared = true
@@ -268,6 +277,7 @@
 // all suspects.
 func (c *Core) recordEnding(now namer.Seconds, process quarantiner.Process, q *request, suspect bool) {
 	ending := quarantiner.Ending{Process: process, Service: q.Service, At: now}
+	others := 0
 	endedAt, known := c.quarantine.ended[process]
 	switch {
 	case !known:
@@ -276,6 +286,7 @@
 		}
 		c.quarantine.ended[process] = now
 		ending.Suspects = c.suspects(now, q, suspect)
+		others = c.unsuspected(now, q.endpoint)
 	case suspect && !q.suspicion.reported && q.suspicion.dispatchedAt < endedAt:
 		ending.At = endedAt
 		ending.Suspects = []quarantiner.Suspect{q.asSuspect()}
@@ -283,7 +294,7 @@
 	if len(ending.Suspects) == 0 {
 		return
 	}
-	c.quarantine.table.RecordLost(now, q.Service, len(ending.Suspects))
+	c.quarantine.table.RecordLost(now, q.Service, len(ending.Suspects), others)
 	c.quarantine.table.RecordEnding(now, ending)
 	c.quarantine.outbox.addEnding(ending)
 	c.sendNotices(now)
@@ -316,6 +327,18 @@
 	return suspects
 }
 
+// unsuspected counts the requests at an endpoint that have generated for so long that they haven't ended it, and haven't
+// counted as successes yet.
+func (c *Core) unsuspected(now namer.Seconds, e *endpoint) int {
+	n := 0
+	for _, q := range c.requests {
+		if q.endpoint == e && q.stage == running && len(q.Parts) > 1 && !q.suspicion.cleared && !q.suspect(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // updateQuarantine records successes, blocks the parts that are due and sends what other daemons have to know.
 func (c *Core) updateQuarantine(now namer.Seconds) {
 	c.recordSuccesses(now)
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -214,7 +214,7 @@
 				}
 			}
 			active, downUntil[engine] = rest, now+2
-			table.RecordLost(now, service, len(e.Suspects))
+			table.RecordLost(now, service, len(e.Suspects), 0)
 			table.RecordEnding(now, e)
 			if len(blocked) == 0 {
 				ends++
--- a/quarantiner/tally.go
+++ b/quarantiner/tally.go
@@ -68,9 +68,10 @@
 	return y
 }
 
-// RecordLost counts requests of a service that were lost with their engine.
-func (t *Table) RecordLost(now namer.Seconds, service namer.Service, requests int) {
-	t.tally(service).add(now, 0, requests)
+// RecordLost counts requests of a service that were lost with their engine: the suspects, and those that had generated
+// for long before.
+func (t *Table) RecordLost(now namer.Seconds, service namer.Service, suspects, others int) {
+	t.tally(service).add(now, others, suspects)
 }
 
 // Tally returns how many requests of a service have succeeded since a time, and how many were lost with their
