quarantiner: Weigh that a part was present at every ending

Cause: where most requests are lost, the number of endings alone convicts late. Change: the test of chance includes the probability that a part's requests are spread over all endings of the service.

--- a/placer/quarantine_test.go
+++ b/placer/quarantine_test.go
@@ -89,7 +89,11 @@
 		sound, crashing float64 // requests per second
 		decode          int     // engines
 		lost            float64 // share of the messages
-	}{"few": {8, 1, 5, 0}, "many": {300, 1, 5, 0}, "burst": {300, 5, 12, 0}, "rare": {40, 0.3, 5, 0}, "lossy": {100, 1, 8, 0.3}} {
+		output          namer.Tokens
+	}{
+		"few": {8, 1, 5, 0, 200}, "many": {300, 1, 5, 0, 200}, "burst": {300, 5, 12, 0, 200}, "rare": {40, 0.3, 5, 0, 200},
+		"lossy": {100, 1, 8, 0.3, 200}, "streams": {60, 1, 6, 0, 1200},
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFleet(t, 6, 3, c.decode)
@@ -102,10 +106,12 @@
 			if c.lost > 0 {
 				f.dropMessage = func(_, _ namer.Host) bool { return f.random.Float64() < c.lost }
 			}
-			f.generate(answer, c.sound, 40*time.Second, 0)
+			k := answer
+			k.output = c.output
+			f.generate(k, c.sound, 40*time.Second, 0)
 			f.run(5 * time.Second)
 			f.crashingPart = crashingPart
-			f.generate(answer, c.crashing, 35*time.Second, crashingPart)
+			f.generate(k, c.crashing, 35*time.Second, crashingPart)
 			f.run(50 * time.Second)
 			is.True(len(f.ends) >= 3)
 			late := 0
--- a/quarantiner/block.go
+++ b/quarantiner/block.go
@@ -96,7 +96,7 @@
 // forget unblocks a part and drops what speaks against it.
 func (t *Table) forget(r *record) {
 	t.unblock(r)
-	r.endings, r.present = nil, nil
+	r.endings, r.present, r.carriers = nil, nil, nil
 }
 
 func (t *Table) unblock(r *record) {
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -53,6 +53,9 @@
 	maxCounted = 16
 	maxPresent = 32
 	maxLosses  = 8
+	// maxCarriers and maxEnded limit what is kept to tell whether a part was present by chance.
+	maxCarriers = 64
+	maxEnded    = 64
 	// settleTime is the time in which engines that fail together are noticed, and in which all daemons have
 	// reported one ending.
 	settleTime namer.Seconds = 0.1
@@ -75,6 +78,7 @@
 	// candidates holds the parts that may be due.
 	candidates map[Part]*record
 	tallies    map[namer.Service]*tally
+	ended      []serviceEnding // the last maxEnded
 }
 
 // record is the evidence about a part.
@@ -84,6 +88,7 @@
 	depth        int             // position in the prompt
 	endings      []counted       // since the last success
 	present      []Process       // all that have ended with it among the suspects since
+	carriers     []Request       // that were suspects with it since the last success
 	losses       []namer.Seconds // endings with it among the suspects, also before the last success
 	soundAt      namer.Seconds   // last known success
 	usedAt       namer.Seconds
@@ -91,6 +96,13 @@
 	block        *block
 }
 
+// serviceEnding is the ending of an engine of a service.
+type serviceEnding struct {
+	process Process
+	service namer.Service
+	at      namer.Seconds
+}
+
 // counted is an ending that counts against a part.
 type counted struct {
 	process Process
@@ -158,6 +170,9 @@
 // suspects.
 func (t *Table) RecordEnding(now namer.Seconds, e Ending) {
 	t.init()
+	if !slices.ContainsFunc(t.ended, func(known serviceEnding) bool { return known.process == e.Process }) {
+		t.ended = append(t.ended[max(0, len(t.ended)-maxEnded+1):], serviceEnding{e.Process, e.Service, e.At})
+	}
 	if t.blocked > 0 && t.explain(now, e) {
 		return
 	}
@@ -195,9 +210,12 @@
 		return false
 	}
 	if n := len(r.endings); n > 0 && e.At-r.endings[n-1].at > evidenceTTL {
-		r.endings, r.present = nil, nil
+		r.endings, r.present, r.carriers = nil, nil, nil
 	}
 	r.meet(e.Process, e.At)
+	if len(r.carriers) < maxCarriers && !slices.Contains(r.carriers, s.Request) {
+		r.carriers = append(r.carriers, s.Request)
+	}
 	if n := len(r.endings); n > 0 {
 		last := r.endings[n-1].at
 		if s.DispatchedAt <= last+settleTime {
@@ -323,7 +341,7 @@
 	c := Cleared{Part: r.part, At: at, Endings: endings}
 	r.soundAt = max(r.soundAt, at)
 	if r.endings = slices.DeleteFunc(r.endings, func(c counted) bool { return c.at <= at }); len(r.endings) == 0 {
-		r.present = nil
+		r.present, r.carriers = nil, nil
 	}
 	if r.block != nil && r.block.since <= at {
 		c.Blocked = true
--- a/quarantiner/tally.go
+++ b/quarantiner/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"apricotspool/namer"
 )
@@ -104,7 +105,29 @@
 			alike++
 		}
 	}
-	return float64(alike)*math.Pow(chance, float64(len(r.endings))) <= significance
+	return float64(alike)*math.Pow(chance, float64(len(r.endings)))*t.coverage(r) <= significance
+}
+
+// coverage returns the probability that a part whose requests are lost is present at as many endings of its service by
+// chance, if it was present at all of them since the first one. The first and the last one are given.
+func (t *Table) coverage(r *record) float64 {
+	first, last := r.endings[0].at, r.endings[len(r.endings)-1].at
+	between := 0
+	for _, e := range t.ended {
+		if e.service != r.service || e.at <= first || e.at >= last {
+			continue
+		}
+		if !slices.Contains(r.present, e.process) {
+			return 1
+		}
+		between++
+	}
+	requests := max(len(r.carriers), len(r.present)) - 2
+	if between < 2 || requests < between {
+		return 1
+	}
+	absent := math.Pow(1-1/float64(between), float64(requests)) // from one of them
+	return math.Pow(1-absent, float64(between))
 }
 
 func (r *record) lossesSince(at namer.Seconds) int {
