placer: Don't continue at an engine that has changed during its check

Cause: handleProbe looked the checked engine up by name when the result came, up to 0.35 s after the proposal, and took whatever was there: a new incarnation, an endpoint of another service, or an engine that only processes prompts by now. The backup of a request that runs once lost the copy of its KV cache with the restart; the request was sent there as a new run (the relayer's check stops that with a panic, so the caller's connection is closed). After a change of the service a request was sent to a service that its route doesn't name. Ruled out: checks when the request is dispatched; by then its attempt has been given up. Change: the core remembers the endpoint that it proposed, and keeps the attempt or proposes another one if that endpoint is gone, has restarted, or has changed its service or role.

--- a/placer/core.go
+++ b/placer/core.go
@@ -90,6 +90,8 @@
 	unresponsive bool // its endpoint has been reported as unresponsive
 	abandoned    bool // the core has ended an attempt at an unresponsive endpoint
 	delivered    bool // the caller has received a part of the response
+	// proposed is the engine that is being checked, so that the request may go on there.
+	proposed *endpoint
 	// replacement is the engine at which the request goes on after an attempt that the core has ended.
 	replacement *endpoint
 }
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -43,6 +43,7 @@
 	basis    map[namer.StreamID]decider.Basis
 	decided  map[namer.StreamID]decider.ActionKind // on unresponsive endpoints
 	silent   map[namer.Endpoint]bool               // these don't respond to probes
+	onProbe  func(a decider.Action)                // called before the result of each probe, if set
 	requests map[namer.StreamID]*trackedRequest
 	all      []*trackedRequest
 }
@@ -225,6 +226,9 @@
 		r := f.requests[a.Request]
 		switch a.Kind {
 		case decider.ActionProbe:
+			if f.onProbe != nil {
+				f.onProbe(a)
+			}
 			f.observe(r, decider.Event{Kind: decider.EventHealth, Attempt: a.Attempt, Endpoint: a.Endpoint, Healthy: !f.silent[a.Endpoint]})
 		case decider.ActionAbandon, decider.ActionKeep:
 			f.decided[a.Request] = a.Kind
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -24,9 +24,9 @@
 	if q.stage != running {
 		return // that attempt has ended
 	}
-	probed := c.endpoints[e.Endpoint]
-	if probed == nil {
-		c.proposeReplacement(now, q)
+	probed := q.proposed
+	if probed == nil || c.endpoints[e.Endpoint] != probed || probed.view.Role == namer.RolePrefill {
+		c.proposeReplacement(now, q) // the engine has changed meanwhile
 		return
 	}
 	if !e.Healthy {
@@ -50,6 +50,7 @@
 	case q.stage == prefilling || q.pool.plain:
 		c.abandonAttempt(now, q)
 	default:
+		q.proposed = e
 		c.answerUnresponsive(q, decider.ActionProbe, e)
 	}
 }
--- a/placer/unresponsive_test.go
+++ b/placer/unresponsive_test.go
@@ -9,6 +9,7 @@
 
 	"apricotspool/classifier"
 	"apricotspool/decider"
+	"apricotspool/namer"
 )
 
 // resumable is a long stream that may continue at another engine.
@@ -118,3 +119,38 @@
 	is.Equal(string(r.outcome), "")
 	is.True(r.endpoint != backup)
 }
+
+// Guards against a request that runs twice, or at another service, because the engine that was checked for it has
+// restarted, or changed its service or role, before the result.
+func TestChangedReplacementIsNotUsed(t *testing.T) {
+	for name, c := range map[string]struct {
+		once   bool
+		change func(*decider.EndpointView)
+	}{
+		"backup has restarted": {true, func(e *decider.EndpointView) { e.Incarnation++ }},
+		"other service":        {false, func(e *decider.EndpointView) { e.Service = "other" }},
+		"other role":           {false, func(e *decider.EndpointView) { e.Role = namer.RolePrefill }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, 0, 2)
+			f.view.Services = append(f.view.Services, decider.ServiceView{Name: "other", EventTokens: eventTokens})
+			f.view.Services[0].Backups = c.once
+			f.configure()
+			k := resumable
+			k.idempotent = !c.once
+			r := f.arrive(f.hosts[0], k)
+			f.run(f.now + 3*time.Second)
+			left := r.endpoint
+			r.deliveredTokens = eventTokens
+			f.onProbe = func(a decider.Action) {
+				c.change(&f.view.Endpoints[slices.Index(f.names, a.Endpoint)])
+				f.configure()
+			}
+			f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: r.attempt, Endpoint: left})
+			is.Equal(f.decided[r.request.ID], decider.ActionKeep)
+			f.fail(r, r.attempt, classifier.RetryEndpointUnresponsive, false)
+			is.Equal(r.endpoint, left)
+		})
+	}
+}
