placer: Continue abandoned requests at engines that are ejected or returning

Cause: the core gives up attempts one by one and dispatches them elsewhere when their failures come. An engine that returns from an ejection admits one request at a time, so of ten responses that were given up for it, the second one was already refused: cut. The same happened when the engine was ejected again in between, and with plain services. An ejection is a suspicion too; refusing a response that has begun acts on it for good. Ruled out: ending the ejection when the check is answered; engines that answer but make no progress would take new work. Change: a request goes on at the engine that answered its check whatever its ejection; one that must continue and finds no usable endpoint goes to the one with the shortest queue among the ejected ones. Endpoints that leave or turn requests away stay excluded. Calls of plain services and prompts that are already processed do the same. Conclusion: mended; the cost is that a response may try one more endpoint of a service that is all dark, within its attempts and the retry budget.

--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -63,10 +63,13 @@
 // leaving reports whether the endpoint is leaving, by its entry or by its own responses.
 func (e *endpoint) leaving() bool { return e.view.Leaving || e.announcedLeaving }
 
+// accepts reports whether the endpoint has not asked for no new work. It may be ejected.
+func (e *endpoint) accepts(now namer.Seconds) bool { return !e.leaving() && now >= e.turnsAwayUntil }
+
 // usable reports whether new work may be sent to the endpoint. Prefill for another engine is always
 // idempotent.
 func (e *endpoint) usable(now namer.Seconds, idempotent bool) bool {
-	return !e.leaving() && now >= e.turnsAwayUntil && e.health.admits(now, idempotent || e.view.Role == namer.RolePrefill)
+	return e.accepts(now) && e.health.admits(now, idempotent || e.view.Role == namer.RolePrefill)
 }
 
 // Load summaries are used up to an age of maxLoadPeriods times the period at which they are sent, and at least
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -98,8 +98,8 @@
 	replacement := q.replacement
 	q.replacement = nil
 	switch {
-	case replacement != nil && replacement != backup && replacement.usable(now, true) && c.endpoints[replacement.view.Name] == replacement:
-		c.dispatch(now, q, choice{endpoint: replacement, expectedDelay: replacement.queueDelay(now, q.class())}, false)
+	case replacement != nil && replacement.accepts(now) && c.endpoints[replacement.view.Name] == replacement:
+		c.dispatch(now, q, continueAt(now, q, replacement, started && replacement == backup), false)
 	case retryPermitted && started && !e.NotRun && c.backupUsable(now, q, backup):
 		// The request resumes on the engine that has a copy of its KV cache, so it still runs only once.
 		c.dispatch(now, q, choice{endpoint: backup, fromBackup: true}, false)
--- a/placer/place.go
+++ b/placer/place.go
@@ -76,7 +76,7 @@
 func (c *Core) placePlain(now namer.Seconds, q *request) {
 	e := c.pickLeastLoaded(now, q)
 	if e == nil {
-		c.refuse(now, q, classifier.NoEndpoint, noEndpointRetry)
+		c.refuseUnlessBegun(now, q, classifier.NoEndpoint)
 		return
 	}
 	c.dispatch(now, q, choice{endpoint: e}, true)
@@ -201,7 +201,7 @@
 func (c *Core) dispatchDecode(now namer.Seconds, q *request) {
 	e := c.pickDecodeEngine(now, q)
 	if e == nil {
-		c.refuse(now, q, classifier.NoEndpoint, noEndpointRetry)
+		c.refuseUnlessBegun(now, q, classifier.NoEndpoint)
 		return
 	}
 	c.lastReservation++
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/namer"
@@ -73,13 +75,13 @@
 	case len(q.tried)+1 > maxEndpointsTried || !c.retryPermitted(now, q):
 		return nil
 	case q.stage == prefilling:
-		return c.pickShortestQueue(now, q)
+		return c.pickShortestQueue(now, q, false)
 	case q.started && c.backupUsable(now, q, q.backup):
 		return q.backup
 	case !q.Idempotent || q.attemptsReceived+1 >= max(1, q.Attempts):
 		return nil
 	}
-	return c.pickShortestQueue(now, q)
+	return c.pickShortestQueue(now, q, false)
 }
 
 // retryPermitted reports whether the retry budget has been charged for the next attempt, or permits it.
@@ -109,9 +111,10 @@
 // at the engine with the shortest queue, without a reservation.
 func (c *Core) refuseUnlessBegun(now namer.Seconds, q *request, outcome classifier.Outcome) {
 	if q.mustContinue() {
-		if e := c.pickShortestQueue(now, q); e != nil {
+		// An ejection is a suspicion, and a refusal is certain to end the response.
+		if e := cmp.Or(c.pickShortestQueue(now, q, false), c.pickShortestQueue(now, q, true)); e != nil {
 			q.late = true
-			c.dispatch(now, q, choice{endpoint: e, expectedDelay: e.queueDelay(now, q.class())}, false)
+			c.dispatch(now, q, continueAt(now, q, e, false), false)
 			return
 		}
 	}
@@ -122,13 +125,28 @@
 	c.refuse(now, q, outcome, retryAfter)
 }
 
+// continueAt returns the choice of an endpoint that has no reservation for the request.
+func continueAt(now namer.Seconds, q *request, e *endpoint, fromBackup bool) choice {
+	if fromBackup {
+		return choice{endpoint: e, fromBackup: true}
+	}
+	return choice{endpoint: e, expectedDelay: e.queueDelay(now, q.class())}
+}
+
 // pickShortestQueue returns the endpoint that can generate the response and has the shortest queue for the request.
-func (c *Core) pickShortestQueue(now namer.Seconds, q *request) *endpoint {
+// If ejected is set, endpoints that are ejected count too.
+func (c *Core) pickShortestQueue(now namer.Seconds, q *request, ejected bool) *endpoint {
 	var least lowestScore
 	for _, e := range q.pool.endpoints {
-		if e.view.Role != namer.RolePrefill && e.usable(now, true) && e != q.endpoint && !q.hasTried(e) {
-			least.consider(e, e.queueDelay(now, q.class()))
+		usable := e.usable(now, true) || (ejected && e.accepts(now))
+		if e.view.Role == namer.RolePrefill || !usable || e == q.endpoint || q.hasTried(e) {
+			continue
+		}
+		score := e.queueDelay(now, q.class())
+		if q.pool.plain {
+			score = namer.Seconds(e.running)
 		}
+		least.consider(e, score)
 	}
 	return least.endpoint
 }
--- a/placer/unresponsive_test.go
+++ b/placer/unresponsive_test.go
@@ -154,3 +154,62 @@
 		})
 	}
 }
+
+// Guards against responses that are cut although they could go on elsewhere: an engine that returns from an ejection
+// admits one request at a time, or is ejected again after the attempts were given up.
+func TestAbandonedRequestsGoOnAtReturningEngine(t *testing.T) {
+	for name, ejectAgain := range map[string]bool{"returning": false, "ejected again": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, 0, 2)
+			f.view.Services[0].Backups = false
+			f.configure()
+			f.hosts[0].core.Retries.Slack = 100
+			streams := f.fillOneEngine(resumable, 10)
+			silent := streams[0].endpoint
+			other := f.names[1-slices.Index(f.names, silent)]
+			f.run(f.now + time.Second)
+			f.silent[other] = true
+			f.observe(streams[0], decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: silent})
+			is.True(slices.ContainsFunc(f.reports, func(a decider.Action) bool { return a.Report == decider.EndpointEjected && a.Endpoint == other }))
+			f.run(f.now + 500*time.Millisecond)
+			delete(f.silent, other)
+			for _, r := range streams {
+				f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: silent})
+				is.Equal(f.decided[r.request.ID], decider.ActionAbandon)
+			}
+			for i, r := range streams {
+				f.fail(r, 1, classifier.RetryEndpointUnresponsive, false)
+				is.Equal(string(r.outcome), "")
+				is.Equal(r.endpoint, other)
+				if ejectAgain && i == 0 {
+					f.fail(r, r.attempt, classifier.RetryConnectFailed, true)
+				}
+			}
+		})
+	}
+}
+
+// Guards against the same with endpoints of a plain service.
+func TestAbandonedCallsGoOnAtReturningEndpoint(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0, 2)
+	f.view.Services[0].Plain = true
+	f.configure()
+	call := workload{prompt: 1, sessions: 1, target: 300 * time.Millisecond, idempotent: true}
+	lost := f.arrive(f.hosts[0], call)
+	other := lost.endpoint
+	f.fail(lost, 1, classifier.RetryConnectFailed, true)
+	calls := []*trackedRequest{f.arrive(f.hosts[0], call), f.arrive(f.hosts[0], call)}
+	f.now += 500 * time.Millisecond
+	for _, r := range calls {
+		is.True(r.endpoint != other)
+		f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: r.endpoint})
+		is.Equal(f.decided[r.request.ID], decider.ActionAbandon)
+	}
+	for _, r := range calls {
+		f.fail(r, 1, classifier.RetryEndpointUnresponsive, false)
+		is.Equal(string(r.outcome), "")
+		is.Equal(r.endpoint, other)
+	}
+}
