dispatcher: Report no endpoint as unresponsive after its request has ended

Cause: the calls for reports end with the request's context. When a caller disconnected, or the deadline passed, during one, the watchdog took the cancelled call for one without an answer: it reported the endpoint as unresponsive, or the probed engine as unhealthy, and the core ejected a sound engine if that event came before the end of the request. Before the same verdict only cancelled a context that had ended already. Ruled out: telling the two errors apart in relayer; the context may end after the call as well. Change: Ticket.Unresponsive reports nothing once its context is done.

--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -48,6 +48,9 @@
 // because another one can follow. probe reports whether an endpoint responds. If the attempt ends meanwhile, ctx must
 // be done.
 func (t *Ticket) Unresponsive(ctx context.Context, attempt namer.Attempt, at namer.Endpoint, probe func(namer.Endpoint) bool) (abandon bool) {
+	if ctx.Err() != nil {
+		return false // no evidence against the endpoint: the call for its report may have ended with ctx
+	}
 	select {
 	case <-t.decisions: // on an endpoint that responded before the decision
 	default:
@@ -59,7 +62,11 @@
 			switch {
 			case a.Attempt != attempt:
 			case a.Kind == decider.ActionProbe:
-				t.report(decider.Event{Kind: decider.EventHealth, Attempt: attempt, Endpoint: a.Endpoint, Healthy: probe(a.Endpoint)})
+				healthy := probe(a.Endpoint)
+				if ctx.Err() != nil {
+					return false
+				}
+				t.report(decider.Event{Kind: decider.EventHealth, Attempt: attempt, Endpoint: a.Endpoint, Healthy: healthy})
 			case a.Endpoint == at:
 				return a.Kind == decider.ActionAbandon
 			}
