relayer, placer: Keep a long call of a plain service that no other attempt can follow

Cause: the second verdict of the watchdog, response-lost, still cancelled an attempt without asking the core. For a plain endpoint it rests on silence only: the endpoint answers other calls, and this one takes three times the patience. When the core then refused (budget, attempts, no endpoint), a call that its endpoint was at work on was failed, and a stream that had begun was cut. Ruled out: the same for engines; their verdict rests on two reports that list all requests without this one, half a second apart. Change: EventUnresponsive has the reason, and the watchdog asks the core also when a plain endpoint responds to other attempts. The core records the reason as before (half a failure). The scripted core of relayer's tests answers requests by their own id, so that several can run; its checks are the same. Conclusion: mended for plain services.

--- a/decider/event.go
+++ b/decider/event.go
@@ -77,8 +77,8 @@
 	EventHealth
 	// EventLeaving reports that Endpoint has announced in a response that it is leaving.
 	EventLeaving
-	// EventUnresponsive reports that the endpoint of the current attempt sends nothing. The core answers with
-	// ActionProbe, ActionAbandon or ActionKeep.
+	// EventUnresponsive reports that the endpoint of the current attempt sends nothing; Reason says whether it
+	// responds to other attempts. The core answers with ActionProbe, ActionAbandon or ActionKeep.
 	EventUnresponsive
 )
 
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -44,10 +44,10 @@
 	t.decisions <- a // only the control goroutine sends
 }
 
-// Unresponsive reports that the endpoint of an attempt sends nothing, and returns whether to abandon the attempt
-// because another one can follow. probe reports whether an endpoint responds. If the attempt ends meanwhile, ctx must
-// be done.
-func (t *Ticket) Unresponsive(ctx context.Context, attempt namer.Attempt, at namer.Endpoint, probe func(namer.Endpoint) bool) (abandon bool) {
+// Unresponsive reports that the endpoint of an attempt sends nothing, to this attempt or at all by the reason, and
+// returns whether to abandon the attempt because another one can follow. probe reports whether an endpoint responds.
+// If the attempt ends meanwhile, ctx must be done.
+func (t *Ticket) Unresponsive(ctx context.Context, attempt namer.Attempt, at namer.Endpoint, reason classifier.RetryReason, probe func(namer.Endpoint) bool) (abandon bool) {
 	if ctx.Err() != nil {
 		return false // no evidence against the endpoint: the call for its report may have ended with ctx
 	}
@@ -55,7 +55,7 @@
 	case <-t.decisions: // on an endpoint that responded before the decision
 	default:
 	}
-	t.report(decider.Event{Kind: decider.EventUnresponsive, Attempt: attempt, Endpoint: at})
+	t.report(decider.Event{Kind: decider.EventUnresponsive, Attempt: attempt, Endpoint: at, Reason: reason})
 	for {
 		select {
 		case a := <-t.decisions:
--- a/dispatcher/ticket_test.go
+++ b/dispatcher/ticket_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
 	"apricotspool/namer"
@@ -35,7 +36,7 @@
 				if endedBefore {
 					end()
 				}
-				is.True(!ticket.Unresponsive(ctx, 1, "e", func(namer.Endpoint) bool {
+				is.True(!ticket.Unresponsive(ctx, 1, "e", classifier.RetryEndpointUnresponsive, func(namer.Endpoint) bool {
 					end()
 					return false
 				}))
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -47,7 +47,7 @@
 		c.releaseEndpoint(at, q)
 		c.removeRequest(q)
 	case decider.EventUnresponsive:
-		c.handleUnresponsive(at, q, e.Endpoint)
+		c.handleUnresponsive(at, q, e)
 	case decider.EventHealth:
 		c.handleProbe(at, q, e)
 	case decider.EventFailed:
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -10,12 +10,12 @@
 
 // handleUnresponsive decides whether a request leaves an endpoint that sends nothing. A sound endpoint may be silent
 // for a while, so the request leaves only if another attempt is certain to follow.
-func (c *Core) handleUnresponsive(now namer.Seconds, q *request, at namer.Endpoint) {
-	if q.stage == waiting || q.endpoint.view.Name != at {
+func (c *Core) handleUnresponsive(now namer.Seconds, q *request, e decider.Event) {
+	if q.stage == waiting || q.endpoint.view.Name != e.Endpoint {
 		return // that attempt has ended
 	}
 	if !q.unresponsive || !q.pool.plain {
-		c.recordEndpointFailure(now, q.endpoint, classifier.RetryEndpointUnresponsive)
+		c.recordEndpointFailure(now, q.endpoint, e.Reason)
 	}
 	q.unresponsive = true
 	c.proposeReplacement(now, q)
--- a/placer/unresponsive_test.go
+++ b/placer/unresponsive_test.go
@@ -52,7 +52,7 @@
 			}
 			var abandoned []*trackedRequest
 			for _, r := range streams {
-				f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: r.attempt, Endpoint: silent})
+				f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: r.attempt, Endpoint: silent, Reason: classifier.RetryEndpointUnresponsive})
 				if f.decided[r.request.ID] == decider.ActionAbandon {
 					abandoned = append(abandoned, r)
 					continue
@@ -147,7 +147,7 @@
 				c.change(&f.view.Endpoints[slices.Index(f.names, a.Endpoint)])
 				f.configure()
 			}
-			f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: r.attempt, Endpoint: left})
+			f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: r.attempt, Endpoint: left, Reason: classifier.RetryEndpointUnresponsive})
 			is.Equal(f.decided[r.request.ID], decider.ActionKeep)
 			f.fail(r, r.attempt, classifier.RetryEndpointUnresponsive, false)
 			is.Equal(r.endpoint, left)
@@ -170,12 +170,12 @@
 			other := f.names[1-slices.Index(f.names, silent)]
 			f.run(f.now + time.Second)
 			f.silent[other] = true
-			f.observe(streams[0], decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: silent})
+			f.observe(streams[0], decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: silent, Reason: classifier.RetryEndpointUnresponsive})
 			is.True(slices.ContainsFunc(f.reports, func(a decider.Action) bool { return a.Report == decider.EndpointEjected && a.Endpoint == other }))
 			f.run(f.now + 500*time.Millisecond)
 			delete(f.silent, other)
 			for _, r := range streams {
-				f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: silent})
+				f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: silent, Reason: classifier.RetryEndpointUnresponsive})
 				is.Equal(f.decided[r.request.ID], decider.ActionAbandon)
 			}
 			for i, r := range streams {
@@ -204,7 +204,7 @@
 	f.now += 500 * time.Millisecond
 	for _, r := range calls {
 		is.True(r.endpoint != other)
-		f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: r.endpoint})
+		f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: r.endpoint, Reason: classifier.RetryEndpointUnresponsive})
 		is.Equal(f.decided[r.request.ID], decider.ActionAbandon)
 	}
 	for _, r := range calls {
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -89,8 +89,8 @@
 
 func (dialect) SetRequestID(response, request http.Header) { response.Set("X-Id", request.Get("X-Id")) }
 
-// scriptedCore is a decision core that returns a list of actions for one request, the next one after each
-// failure or prefill, and refuses when the list is exhausted.
+// scriptedCore is a decision core that returns a list of actions, the next one for each request, failure or prefill,
+// and refuses when the list is exhausted.
 type scriptedCore struct {
 	mu      sync.Mutex
 	actions []decider.Action // remaining actions for the request
@@ -104,7 +104,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.request = r
-	return s.next()
+	return s.next(r.ID)
 }
 
 func (s *scriptedCore) Observe(_ time.Time, e decider.Event) []decider.Action {
@@ -115,23 +115,23 @@
 		if len(s.actions) > 0 {
 			kind = decider.ActionAbandon
 		}
-		return []decider.Action{{Kind: kind, Request: s.request.ID, Attempt: e.Attempt, Endpoint: e.Endpoint}}
+		return []decider.Action{{Kind: kind, Request: e.Request, Attempt: e.Attempt, Endpoint: e.Endpoint}}
 	}
 	s.events = append(s.events, e)
 	if e.Kind == decider.EventFailed || e.Kind == decider.EventPrefilled {
-		return s.next()
+		return s.next(e.Request)
 	}
 	return nil
 }
 
 func (s *scriptedCore) Tick(time.Time) []decider.Action { return nil }
 
-func (s *scriptedCore) next() []decider.Action {
+func (s *scriptedCore) next(request namer.StreamID) []decider.Action {
 	action := decider.Action{Kind: decider.ActionRefuse, Outcome: classifier.EndpointRefused, RetryAfter: 250 * time.Millisecond}
 	if len(s.actions) > 0 {
 		action, s.actions = s.actions[0], s.actions[1:]
 	}
-	action.Request = s.request.ID
+	action.Request = request
 	return []decider.Action{action}
 }
 
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -272,3 +272,25 @@
 		})
 	}
 }
+
+// Guards against failing a call that takes long, when no other attempt can follow, because its endpoint answers
+// other calls.
+func TestLongCallIsKeptWithoutReplacement(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, dispatchTo("a", "a", "a", "a", "a", "a", "a")...)
+	f.endpoint("a", func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			time.Sleep(2500 * time.Millisecond)
+		}
+		io.WriteString(w, "done")
+	})
+	long := make(chan response)
+	go func() { long <- f.send("PUT", "/safe/", "") }()
+	for range 6 {
+		time.Sleep(250 * time.Millisecond)
+		is.Equal(f.send("GET", "/safe/", "").status, 200)
+	}
+	got := <-long
+	is.Equal(got.status, 200)
+	is.Equal(got.body, "done")
+}
--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -157,17 +157,21 @@
 	case detector.Wait:
 		wd.timer.Reset(step.Wait)
 	case detector.AbandonLost:
-		wd.cancel(errLost)
+		if wd.reports {
+			wd.cancel(errLost) // the engine says so
+			return
+		}
+		wd.replaceAttempt(classifier.RetryResponseLost, errLost)
 	default:
-		wd.replaceAttempt()
+		wd.replaceAttempt(classifier.RetryEndpointUnresponsive, errInactive)
 	}
 }
 
 // replaceAttempt cancels the attempt if the core has another one that can follow. A sound endpoint may send nothing
 // for a while: without a replacement its response is worth waiting for.
-func (wd *watchdog) replaceAttempt() {
-	if wd.ticket.Unresponsive(wd.ctx, wd.attempt, wd.target.Endpoint, wd.responds) {
-		wd.cancel(errInactive)
+func (wd *watchdog) replaceAttempt(reason classifier.RetryReason, cause error) {
+	if wd.ticket.Unresponsive(wd.ctx, wd.attempt, wd.target.Endpoint, reason, wd.responds) {
+		wd.cancel(cause)
 		return
 	}
 	now := time.Since(processStart)
