placer: Record the failure of an attempt that was kept at a silent endpoint

Cause: the failure of an attempt wasn't recorded if its endpoint had been reported as unresponsive at any time of it. That was right while such a report ended the attempt. A kept one goes on, and may break, refuse or fail to connect long after the ejection for the silence is over; the endpoint stayed in use. Ruled out: recording all failures; an attempt to connect that the core has ended counts as not connected and would eject a plain endpoint for one silence. Change: only the failure of an attempt that the core has ended isn't recorded again.

--- a/placer/core.go
+++ b/placer/core.go
@@ -88,8 +88,9 @@
 	started     bool // the first event has arrived
 
 	unresponsive bool // its endpoint has been reported as unresponsive
-	abandoned    bool // the core has ended an attempt at an unresponsive endpoint
 	delivered    bool // the caller has received a part of the response
+	// abandoned is the last attempt at an unresponsive endpoint that the core has ended; 0 if there is none.
+	abandoned namer.Attempt
 	// proposed is the engine that is being checked, so that the request may go on there.
 	proposed *endpoint
 	// replacement is the engine at which the request goes on after an attempt that the core has ended.
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -83,7 +83,7 @@
 
 // handleFailure retries a failed attempt if that is safe and within the retry budget, or refuses the request.
 func (c *Core) handleFailure(now namer.Seconds, q *request, e decider.Event) {
-	if !q.unresponsive {
+	if q.abandoned != q.attempt { // otherwise it was recorded before
 		c.recordEndpointFailure(now, q.endpoint, e.Reason)
 	}
 	if e.RetryAfter > 0 {
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -58,7 +58,7 @@
 }
 
 func (c *Core) abandonAttempt(now namer.Seconds, q *request) {
-	q.abandoned = true
+	q.abandoned = q.attempt
 	if q.stage == running {
 		c.chargeBeforehand(now, q)
 	}
@@ -105,7 +105,7 @@
 
 // mustContinue reports whether a refusal would end a response that has begun, or an attempt that this daemon has
 // abandoned because another one would follow.
-func (q *request) mustContinue() bool { return q.delivered || q.abandoned }
+func (q *request) mustContinue() bool { return q.delivered || q.abandoned > 0 }
 
 // refuseUnlessBegun refuses a request that no engine takes within its target. A response that must continue does so
 // at the engine with the shortest queue, without a reservation.
--- a/placer/unresponsive_test.go
+++ b/placer/unresponsive_test.go
@@ -213,3 +213,19 @@
 		is.Equal(r.endpoint, other)
 	}
 }
+
+// Guards against an engine that stays in use after a failure, because it was unresponsive earlier in the same attempt.
+func TestFailureAfterSilenceEjects(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0, 1)
+	r := f.arrive(f.hosts[0], resumable)
+	f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: r.endpoint, Reason: classifier.RetryEndpointUnresponsive})
+	is.Equal(f.decided[r.request.ID], decider.ActionKeep)
+	f.now += 500 * time.Millisecond // longer than the first ejection
+	f.fail(r, 1, classifier.RetryConnectFailed, true)
+	var ejections []classifier.RetryReason
+	for _, a := range f.reports {
+		ejections = append(ejections, a.Retry)
+	}
+	is.Equal(ejections, []classifier.RetryReason{classifier.RetryEndpointUnresponsive, classifier.RetryConnectFailed})
+}
