placer: End an ejection with the first event of a response

Cause: an engine that returns from an ejection admits one request at a time, until a response ends well. If the first one is a long stream, the engine gets no other work from this daemon while it lasts, or until another request there ends. One silence of half a second, the suspicion that now ejects without ending the attempt, shuts a sound engine for longer than the silence. Ruled out: success for each first event; it would halve the failure count of endpoints that aren't ejected. Change: EventStarted ends an ejection. A response that is a failure reports none. Figures: TestFirstEventEndsEjection, before: the next request of a service with one engine is refused with no-endpoint 0.5 s after the stream was sent; after: pass. go test -race ./placer passes.

--- a/placer/observe.go
+++ b/placer/observe.go
@@ -34,6 +34,9 @@
 		}
 	case decider.EventStarted:
 		c.recordStarted(at, q)
+		if q.stage == running && q.endpoint.health.ejectionPeriod > 0 {
+			c.recordEndpointSuccess(q.endpoint) // the rest of the response may take long
+		}
 	case decider.EventFinished:
 		c.recordStarted(at, q)
 		if q.endpoint != nil && e.Reason == "" {
--- a/placer/unresponsive_test.go
+++ b/placer/unresponsive_test.go
@@ -229,3 +229,17 @@
 	}
 	is.Equal(ejections, []classifier.RetryReason{classifier.RetryEndpointUnresponsive, classifier.RetryConnectFailed})
 }
+
+// Guards against an engine that gets no work, as long as the response lasts that it gave first after an ejection.
+func TestFirstEventEndsEjection(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0, 1)
+	r := f.arrive(f.hosts[0], resumable)
+	f.fail(r, 1, classifier.RetryConnectFailed, true)
+	f.run(f.now + 500*time.Millisecond)
+	long := f.arrive(f.hosts[0], resumable)
+	f.run(f.now + 500*time.Millisecond)
+	is.True(long.startedAt > 0 && long.finishedAt == 0)
+	next := f.arrive(f.hosts[0], resumable)
+	is.Equal(string(next.outcome), "")
+}
