placer: Watch attempts that are sent while the retry budget is used up

Cause: an attempt that was dispatched while the budget had no room was marked as the final one, and the relayer doesn't watch final attempts. The budget is used up exactly when endpoints fall silent, and has room again soon. Until then all new requests went unwatched: a dark endpoint wasn't reported by them, and they stayed there until their deadline. Ruled out: nothing. Change: only used-up attempts, or a configuration without retries, make an attempt final. The core answers ActionKeep while there is no budget. TestDispatchLastFlagAndExpectedDelay is unchanged and passes. Figures: TestEmptyBudgetIsNotFinal, before: the request is final; after: kept while the budget is empty, abandoned 1.5 s later. go test -race ./placer passes.

--- a/placer/place.go
+++ b/placer/place.go
@@ -180,10 +180,16 @@
 			action.Backup = q.backup.view.Name
 		}
 	}
-	action.FinalAttempt = q.stage == running && q.backup == nil && (q.attemptsReceived+1 >= max(1, q.Attempts) || !c.retryAllowed(now, q))
+	action.FinalAttempt = q.stage == running && q.backup == nil && c.isFinal(q)
 	c.actions = append(c.actions, action)
 }
 
+// isFinal reports whether no further attempt can follow if the next one fails. A retry budget that is used up has
+// room again later.
+func (c *Core) isFinal(q *request) bool {
+	return q.attemptsReceived+1 >= max(1, q.Attempts) || (c.Retries.Ratio <= 0 && c.Retries.Slack <= 0)
+}
+
 // retryAllowed reports whether the retry budget permits another retry.
 func (c *Core) retryAllowed(now namer.Seconds, q *request) bool {
 	return q.pool.retryBudget.allows(now, c.Retries, len(c.members))
@@ -217,7 +223,7 @@
 	e.health.recordSent()
 	c.actions = append(c.actions, decider.Action{
 		Kind: decider.ActionDispatch, Request: q.ID, Attempt: q.attempt, Endpoint: e.view.Name, Priority: q.class(),
-		Basis: q.basis(now, choice{endpoint: e}), FinalAttempt: q.attemptsReceived+1 >= max(1, q.Attempts) || !c.retryAllowed(now, q),
+		Basis: q.basis(now, choice{endpoint: e}), FinalAttempt: c.isFinal(q),
 	})
 }
 
--- a/placer/unresponsive_test.go
+++ b/placer/unresponsive_test.go
@@ -10,6 +10,7 @@
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/namer"
+	"apricotspool/placer"
 )
 
 // resumable is a long stream that may continue at another engine.
@@ -243,3 +244,27 @@
 	next := f.arrive(f.hosts[0], resumable)
 	is.Equal(string(next.outcome), "")
 }
+
+// Guards against a request that stays at a dark engine until its deadline, because the retry budget was used up for a
+// moment when it was sent there.
+func TestEmptyBudgetIsNotFinal(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0, 2)
+	f.view.Services[0].Backups = false
+	f.configure()
+	core := f.hosts[0].core
+	core.Retries = placer.Retries{Ratio: 0.01, Slack: 1.3, Window: time.Second}
+	first := f.arrive(f.hosts[0], resumable)
+	f.fail(first, 1, classifier.RetryEndpointRefused, true) // uses the budget
+	var final bool
+	f.onDispatch = func(a decider.Action, _ uint64, _ bool) { final = a.FinalAttempt }
+	r := f.arrive(f.hosts[0], resumable)
+	is.True(!final)
+	unresponsive := func() decider.ActionKind {
+		f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: r.endpoint, Reason: classifier.RetryEndpointUnresponsive})
+		return f.decided[r.request.ID]
+	}
+	is.Equal(unresponsive(), decider.ActionKeep)
+	f.now += 1500 * time.Millisecond
+	is.Equal(unresponsive(), decider.ActionAbandon)
+}
