--- a/placer/observe.go
+++ b/placer/observe.go
@@ -34,6 +34,9 @@
 		}
 	case decider.EventStarted:
 		c.recordStarted(at, q)
+		if q.stage == running && q.endpoint.health.ejectionPeriod > 0 {
+			c.recordEndpointSuccess(q.endpoint) // the rest of the response may take long
+		}
 	case decider.EventFinished:
 		c.recordStarted(at, q)
 		if q.endpoint != nil && e.Reason == "" {
@@ -48,7 +51,7 @@
 		c.releaseEndpoint(at, q)
 		c.removeRequest(q)
 	case decider.EventUnresponsive:
-		c.handleUnresponsive(at, q, e.Endpoint)
+		c.handleUnresponsive(at, q, e)
 	case decider.EventHealth:
 		c.handleProbe(at, q, e)
 	case decider.EventFailed:
@@ -85,7 +88,7 @@
 
 // handleFailure retries a failed attempt if that is safe and within the retry budget, or refuses the request.
 func (c *Core) handleFailure(now namer.Seconds, q *request, e decider.Event) {
-	if !q.unresponsive {
+	if q.abandoned != q.attempt { // otherwise it was recorded before
 		c.recordEndpointFailure(now, q.endpoint, e.Reason)
 	}
 	if e.RetryAfter > 0 {
@@ -108,8 +111,8 @@
 	replacement := q.replacement
 	q.replacement = nil
 	switch {
-	case replacement != nil && replacement != backup && replacement.usable(now, true) && c.endpoints[replacement.view.Name] == replacement:
-		c.dispatch(now, q, choice{endpoint: replacement, expectedDelay: replacement.queueDelay(now, q.class())}, false)
+	case replacement != nil && replacement.accepts(now) && c.endpoints[replacement.view.Name] == replacement:
+		c.dispatch(now, q, continueAt(now, q, replacement, started && replacement == backup), false)
 	case retryPermitted && started && !e.NotRun && c.backupUsable(now, q, backup):
 		// The request resumes on the engine that has a copy of its KV cache, so it still runs only once.
 		c.dispatch(now, q, choice{endpoint: backup, fromBackup: true}, false)
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -1,6 +1,8 @@
 package placer
 
 import (
+	"cmp"
+
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/namer"
@@ -8,12 +10,12 @@
 
 // handleUnresponsive decides whether a request leaves an endpoint that sends nothing. A sound endpoint may be silent
 // for a while, so the request leaves only if another attempt is certain to follow.
-func (c *Core) handleUnresponsive(now namer.Seconds, q *request, at namer.Endpoint) {
-	if q.stage == waiting || q.endpoint.view.Name != at {
+func (c *Core) handleUnresponsive(now namer.Seconds, q *request, e decider.Event) {
+	if q.stage == waiting || q.endpoint.view.Name != e.Endpoint {
 		return // that attempt has ended
 	}
 	if !q.unresponsive || !q.pool.plain {
-		c.recordEndpointFailure(now, q.endpoint, classifier.RetryEndpointUnresponsive)
+		c.recordEndpointFailure(now, q.endpoint, e.Reason)
 	}
 	q.unresponsive = true
 	c.proposeReplacement(now, q)
@@ -24,9 +26,9 @@
 	if q.stage != running {
 		return // that attempt has ended
 	}
-	probed := c.endpoints[e.Endpoint]
-	if probed == nil {
-		c.proposeReplacement(now, q)
+	probed := q.proposed
+	if probed == nil || c.endpoints[e.Endpoint] != probed || probed.view.Role == namer.RolePrefill {
+		c.proposeReplacement(now, q) // the engine has changed meanwhile
 		return
 	}
 	if !e.Healthy {
@@ -50,12 +52,13 @@
 	case q.stage == prefilling || q.pool.plain:
 		c.abandonAttempt(now, q)
 	default:
+		q.proposed = e
 		c.answerUnresponsive(q, decider.ActionProbe, e)
 	}
 }
 
 func (c *Core) abandonAttempt(now namer.Seconds, q *request) {
-	q.abandoned = true
+	q.abandoned = q.attempt
 	if q.stage == running {
 		c.chargeBeforehand(now, q)
 	}
@@ -72,13 +75,13 @@
 	case len(q.tried)+1 > maxEndpointsTried || !c.retryPermitted(now, q):
 		return nil
 	case q.stage == prefilling:
-		return c.pickShortestQueue(now, q)
+		return c.pickShortestQueue(now, q, false)
 	case q.started && c.backupUsable(now, q, q.backup):
 		return q.backup
 	case !q.Idempotent || q.attemptsReceived+1 >= max(1, q.Attempts):
 		return nil
 	}
-	return c.pickShortestQueue(now, q)
+	return c.pickShortestQueue(now, q, false)
 }
 
 // retryPermitted reports whether the retry budget has been charged for the next attempt, or permits it.
@@ -102,15 +105,16 @@
 
 // mustContinue reports whether a refusal would end a response that has begun, or an attempt that this daemon has
 // abandoned because another one would follow.
-func (q *request) mustContinue() bool { return q.delivered || q.abandoned }
+func (q *request) mustContinue() bool { return q.delivered || q.abandoned > 0 }
 
 // refuseUnlessBegun refuses a request that no engine takes within its target. A response that must continue does so
 // at the engine with the shortest queue, without a reservation.
 func (c *Core) refuseUnlessBegun(now namer.Seconds, q *request, outcome classifier.Outcome) {
 	if q.mustContinue() {
-		if e := c.pickShortestQueue(now, q); e != nil {
+		// An ejection is a suspicion, and a refusal is certain to end the response.
+		if e := cmp.Or(c.pickShortestQueue(now, q, false), c.pickShortestQueue(now, q, true)); e != nil {
 			q.late = true
-			c.dispatch(now, q, choice{endpoint: e, expectedDelay: e.queueDelay(now, q.class())}, false)
+			c.dispatch(now, q, continueAt(now, q, e, false), false)
 			return
 		}
 	}
@@ -121,13 +125,28 @@
 	c.refuse(now, q, outcome, retryAfter)
 }
 
+// continueAt returns the choice of an endpoint that has no reservation for the request.
+func continueAt(now namer.Seconds, q *request, e *endpoint, fromBackup bool) choice {
+	if fromBackup {
+		return choice{endpoint: e, fromBackup: true}
+	}
+	return choice{endpoint: e, expectedDelay: e.queueDelay(now, q.class())}
+}
+
 // pickShortestQueue returns the endpoint that can generate the response and has the shortest queue for the request.
-func (c *Core) pickShortestQueue(now namer.Seconds, q *request) *endpoint {
+// If ejected is set, endpoints that are ejected count too.
+func (c *Core) pickShortestQueue(now namer.Seconds, q *request, ejected bool) *endpoint {
 	var least lowestScore
 	for _, e := range q.pool.endpoints {
-		if e.view.Role != namer.RolePrefill && e.usable(now, true) && e != q.endpoint && !q.hasTried(e) {
-			least.consider(e, e.queueDelay(now, q.class()))
+		usable := e.usable(now, true) || (ejected && e.accepts(now))
+		if e.view.Role == namer.RolePrefill || !usable || e == q.endpoint || q.hasTried(e) {
+			continue
+		}
+		score := e.queueDelay(now, q.class())
+		if q.pool.plain {
+			score = namer.Seconds(e.running)
 		}
+		least.consider(e, score)
 	}
 	return least.endpoint
 }
