placer, relayer: Guard the decisions about unresponsive endpoints

Cause: mutations of that its tests didn't see: the relayer's probe that always succeeds or always fails, a kept attempt that is never looked at again, the route's attempts, a replacement that left or turns requests away meanwhile, a prefill engine that is never left, a report about an endpoint that the request has left. Change: tests only. The scripted core of relayer's tests can ask for a probe; its checks are the same.

--- a/placer/unresponsive_test.go
+++ b/placer/unresponsive_test.go
@@ -25,6 +25,7 @@
 		once               bool // the requests can't be repeated
 		crowded            bool // the other engine has a long queue
 		silent             int  // engines that don't respond to probes
+		attempts           int  // of the route; 0 means 2
 	}{
 		"budget for all":             {engines: 2, slack: 100, abandoned: 30},
 		"other engine is full":       {engines: 2, slack: 100, abandoned: 30, crowded: true},
@@ -33,6 +34,7 @@
 		"other engine is silent too": {engines: 2, slack: 100, silent: 2},
 		"one of two others responds": {engines: 3, slack: 100, silent: 2, abandoned: 30},
 		"requests that run once":     {engines: 2, slack: 100, once: true},
+		"last attempt of the route":  {engines: 2, slack: 100, attempts: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -41,7 +43,7 @@
 			f.configure()
 			f.hosts[0].core.Retries.Slack = c.slack
 			k := resumable
-			k.idempotent = !c.once
+			k.idempotent, k.attempts = !c.once, c.attempts
 			streams := f.fillOneEngine(k, 30)
 			silent := streams[0].endpoint
 			f.run(f.now + 3*time.Second) // longer than callers wait for the first event
@@ -268,3 +270,50 @@
 	f.now += 1500 * time.Millisecond
 	is.Equal(unresponsive(), decider.ActionAbandon)
 }
+
+// Guards against new work for an engine that leaves, or turns requests away, after requests were given up for it.
+func TestReplacementThatLeavesIsNotUsed(t *testing.T) {
+	for name, leave := range map[string]func(f *fleet, i int){
+		"entry says so": func(f *fleet, i int) { f.view.Endpoints[i].Leaving = true },
+		"is gone":       func(f *fleet, i int) { f.view.Endpoints = slices.Delete(f.view.Endpoints, i, i+1) },
+		"is paused":     func(f *fleet, i int) { f.hosts[0].core.Pause(f.time(), f.names[i], time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, 1, 0, 2)
+			f.view.Services[0].Backups = false
+			f.configure()
+			r := f.arrive(f.hosts[0], resumable)
+			f.run(f.now + 500*time.Millisecond)
+			silent := r.endpoint
+			f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: silent, Reason: classifier.RetryEndpointUnresponsive})
+			is.Equal(f.decided[r.request.ID], decider.ActionAbandon)
+			leave(f, 1-slices.Index(f.names, silent))
+			f.configure()
+			f.fail(r, 1, classifier.RetryEndpointUnresponsive, false)
+			is.Equal(r.endpoint, silent)
+			is.Equal(r.outcome, classifier.EndpointFailed)
+		})
+	}
+}
+
+// Guards against a prompt that stays at a silent prefill engine, and against a report about that engine that ends the
+// attempt at the next one.
+func TestSilentPrefillEngineIsLeft(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 1, 1)
+	k := longPrompt
+	k.idempotent = true
+	r := f.arrive(f.hosts[0], k)
+	is.True(r.prefill)
+	silence := decider.Event{Kind: decider.EventUnresponsive, Attempt: 1, Endpoint: r.endpoint, Reason: classifier.RetryEndpointUnresponsive}
+	f.observe(r, silence)
+	is.Equal(f.decided[r.request.ID], decider.ActionAbandon)
+	delete(f.decided, r.request.ID)
+	r.outcome = "handled"
+	f.observe(r, decider.Event{Kind: decider.EventPrefilled, Attempt: 1, Endpoint: r.endpoint}) // before it was ended
+	is.True(!r.prefill)
+	is.Equal(r.attempt, silence.Attempt)
+	f.observe(r, silence)
+	is.Equal(f.decided[r.request.ID], decider.ActionKind(0))
+}
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -96,6 +96,9 @@
 	actions []decider.Action // remaining actions for the request
 	events  []decider.Event
 	request decider.Request
+
+	probe        namer.Endpoint // probed before an attempt is abandoned, if set
+	unresponsive namer.Endpoint // the last one reported
 }
 
 func (s *scriptedCore) Configure(time.Time, decider.Fleet) {}
@@ -110,12 +113,23 @@
 func (s *scriptedCore) Observe(_ time.Time, e decider.Event) []decider.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e.Kind == decider.EventUnresponsive {
+	switch e.Kind {
+	case decider.EventUnresponsive:
+		s.unresponsive = e.Endpoint
+		decision := decider.Action{Kind: decider.ActionKeep, Request: e.Request, Attempt: e.Attempt, Endpoint: e.Endpoint}
+		switch {
+		case s.probe != "":
+			decision.Kind, decision.Endpoint = decider.ActionProbe, s.probe
+		case len(s.actions) > 0:
+			decision.Kind = decider.ActionAbandon
+		}
+		return []decider.Action{decision}
+	case decider.EventHealth:
 		kind := decider.ActionKeep
-		if len(s.actions) > 0 {
+		if e.Healthy {
 			kind = decider.ActionAbandon
 		}
-		return []decider.Action{{Kind: kind, Request: e.Request, Attempt: e.Attempt, Endpoint: e.Endpoint}}
+		return []decider.Action{{Kind: kind, Request: e.Request, Attempt: e.Attempt, Endpoint: s.unresponsive}}
 	}
 	s.events = append(s.events, e)
 	if e.Kind == decider.EventFailed || e.Kind == decider.EventPrefilled {
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -294,3 +294,36 @@
 	is.Equal(got.status, 200)
 	is.Equal(got.body, "done")
 }
+
+// Guards against leaving a silent engine for one that doesn't respond either, and against an attempt that is kept and
+// never looked at again.
+func TestSilentEngineIsLeftForOneThatResponds(t *testing.T) {
+	for name, c := range map[string]struct {
+		answersFrom int32 // the first call that the other engine answers
+		left        bool
+	}{
+		"responds":        {1, true},
+		"responds later":  {2, true},
+		"doesn't respond": {100, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, dispatchTo("a", "b")...)
+			f.core.probe = "b"
+			f.reportEndpoint("a", func() (detector.Report, bool) { return detector.Report{}, false }, func(w http.ResponseWriter, r *http.Request) {
+				streamFrom(2, func() {
+					time.Sleep(3 * time.Second)
+					r.Header.Set("X-Last-Event", "2")
+					streamFrom(4, func() {})(w, r)
+				})(w, r)
+			})
+			var asked atomic.Int32
+			f.reportEndpoint("b", func() (detector.Report, bool) { return detector.Report{}, asked.Add(1) >= c.answersFrom }, streamFrom(4, func() {}))
+			got := f.send("POST", "/engine/", "")
+			is.Equal(got.body, events(4))
+			is.True(got.complete)
+			is.True(asked.Load() >= min(c.answersFrom, 2))
+			is.Equal(f.core.waitEvents(2)[1].Reason == classifier.RetryEndpointUnresponsive, c.left)
+		})
+	}
+}
