placer: Guard the second look at a replacement after its check

Cause: two mutations of that no test saw: after the check of an engine, neither the retry budget nor whether the engine takes work was looked at again. Change: TestChangedReplacementIsNotUsed has a row for each. Conclusion: tests only.

--- a/placer/unresponsive_test.go
+++ b/placer/unresponsive_test.go
@@ -124,15 +124,17 @@
 }
 
 // Guards against a request that runs twice, or at another service, because the engine that was checked for it has
-// restarted, or changed its service or role, before the result.
+// restarted, changed its service or role, or takes no more work, before the result, or the budget is used up.
 func TestChangedReplacementIsNotUsed(t *testing.T) {
 	for name, c := range map[string]struct {
 		once   bool
-		change func(*decider.EndpointView)
+		change func(f *fleet, i int)
 	}{
-		"backup has restarted": {true, func(e *decider.EndpointView) { e.Incarnation++ }},
-		"other service":        {false, func(e *decider.EndpointView) { e.Service = "other" }},
-		"other role":           {false, func(e *decider.EndpointView) { e.Role = namer.RolePrefill }},
+		"backup has restarted": {true, func(f *fleet, i int) { f.view.Endpoints[i].Incarnation++ }},
+		"other service":        {false, func(f *fleet, i int) { f.view.Endpoints[i].Service = "other" }},
+		"other role":           {false, func(f *fleet, i int) { f.view.Endpoints[i].Role = namer.RolePrefill }},
+		"paused":               {false, func(f *fleet, i int) { f.hosts[0].core.Pause(f.time(), f.names[i], time.Second) }},
+		"no budget":            {false, func(f *fleet, _ int) { f.hosts[0].core.Retries.Slack = 0 }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -147,7 +149,7 @@
 			left := r.endpoint
 			r.deliveredTokens = eventTokens
 			f.onProbe = func(a decider.Action) {
-				c.change(&f.view.Endpoints[slices.Index(f.names, a.Endpoint)])
+				c.change(f, slices.Index(f.names, a.Endpoint))
 				f.configure()
 			}
 			f.observe(r, decider.Event{Kind: decider.EventUnresponsive, Attempt: r.attempt, Endpoint: left, Reason: classifier.RetryEndpointUnresponsive})
