--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -137,7 +137,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols {
+		if response.StatusCode < 100 || response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.Errorf("unexpected status %d", response.StatusCode)
+		}
+		if response.StatusCode < 200 {
 			if informational++; informational > maxInformational {
 				return nil, errors.New("too many informational responses")
 			}
@@ -149,8 +152,11 @@
 		if skipped++; skipped > maxMismatched {
 			return nil, errors.New("too many responses to other calls")
 		}
+		if response.Close {
+			return nil, errors.New("connection ends with a response to another call")
+		}
 		read, err := io.CopyN(io.Discard, response.Body, maxMismatchedBytes)
-		if err != io.EOF || response.Close {
+		if err != io.EOF {
 			return nil, errors.Errorf("skip response to another call: read %d bytes, then %v", read, err)
 		}
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -77,6 +77,8 @@
 		return x.handleErrorStatus(ctx, action, response)
 	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
 		return x.relayStream(ctx, wd, action, response)
+	case x.headerSent:
+		return x.handleBrokenResponse(ctx, action, errors.New("response does not continue the stream"))
 	}
 	return x.passResponse(ctx, wd, action, response)
 }
@@ -198,6 +200,11 @@
 	if err != nil {
 		return x.handleBrokenResponse(ctx, action, err)
 	}
+	if len(body) == maxBufferedBytes {
+		if err := wd.commit(); err != nil {
+			return x.handleBrokenResponse(ctx, action, err)
+		}
+	}
 	wd.progress()
 	x.ticket.Started(action.Attempt, action.Endpoint)
 	x.writeHeader(response.Status, response.Header)
--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -97,6 +97,8 @@
 	cancel         context.CancelCauseFunc
 	ctx            context.Context
 	timer          *time.Timer // nil if no other attempt can follow
+	decided        atomic.Bool // the attempt has been committed or abandoned
+	paused         atomic.Bool // the caller is being written to
 
 	watch detector.Watch // used only by check, which does not run concurrently with itself
 }
@@ -132,14 +134,17 @@
 }
 
 func (wd *watchdog) silence(now time.Duration) detector.Silence {
+	if wd.paused.Load() {
+		return detector.Silence{}
+	}
 	own := now - time.Duration(wd.lastOwn.Load())
 	return detector.Silence{Attempt: own, Endpoint: min(own, now-time.Duration(wd.lastActive.Load()))}
 }
 
 // check is called by the timer.
 func (wd *watchdog) check() {
-	if wd.ctx.Err() != nil {
-		return // stopped during the last check
+	if wd.ctx.Err() != nil || wd.decided.Load() {
+		return // stopped or committed during the last check
 	}
 	now, patience := time.Since(processStart), wd.patience()
 	step := wd.watch.Check(now, wd.silence(now), patience)
@@ -158,7 +163,7 @@
 		wd.timer.Reset(step.Wait)
 	case detector.AbandonLost:
 		if wd.reports {
-			wd.cancel(errLost) // the engine says so
+			wd.abandon(errLost) // the engine says so
 			return
 		}
 		wd.replaceAttempt(classifier.RetryResponseLost, errLost)
@@ -171,13 +176,38 @@
 // for a while: without a replacement its response is worth waiting for.
 func (wd *watchdog) replaceAttempt(reason classifier.RetryReason, cause error) {
 	if wd.ticket.Unresponsive(wd.ctx, wd.attempt, wd.target.Endpoint, reason, wd.responds) {
-		wd.cancel(cause)
+		wd.abandon(cause)
 		return
 	}
 	now := time.Since(processStart)
 	wd.timer.Reset(wd.watch.Kept(now, wd.silence(now)).Wait)
 }
 
+func (wd *watchdog) abandon(cause error) {
+	if wd.decided.CompareAndSwap(false, true) {
+		wd.cancel(cause)
+	}
+}
+
+// commit ends the watch, because no other attempt can continue the response. It returns the cause if the attempt has
+// been abandoned before.
+func (wd *watchdog) commit() error {
+	if wd.decided.CompareAndSwap(false, true) {
+		return nil
+	}
+	<-wd.ctx.Done()
+	return context.Cause(wd.ctx)
+}
+
+// pause stops counting silence while the caller is written to; a slow caller blocks that.
+func (wd *watchdog) pause() { wd.paused.Store(true) }
+
+// resume counts silence again, from now on.
+func (wd *watchdog) resume() {
+	wd.lastOwn.Store(int64(time.Since(processStart)))
+	wd.paused.Store(false)
+}
+
 // responds reports whether an engine answers a call for its report.
 func (wd *watchdog) responds(name namer.Endpoint) bool {
 	target, known := wd.relayer.Target(name)
