relayer: Keep an engine that goes on while its replacement is checked

Cause: the check of a replacement takes up to 0.35 s, for several engines one after the other. The core doesn't see events of a response, so it answered ActionAbandon although the silent engine had gone on meanwhile, and the watchdog cancelled an attempt that was sending. Ruled out: reporting the replacement as unresponsive to make the core keep the attempt; that would eject a sound engine. Change: the watchdog keeps the attempt if the endpoint has sent something since the question. The retry stays charged, for a later attempt of the same request; until that attempt ends, the core doesn't record its failure a second time and would continue at the checked engine.

--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -339,3 +340,23 @@
 		})
 	}
 }
+
+// Guards against leaving an engine that goes on while its replacement is checked.
+func TestEngineThatGoesOnIsKept(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, dispatchTo("a", "b")...)
+	f.core.probe = "b"
+	f.reportEndpoint("a", func() (detector.Report, bool) { return detector.Report{}, false }, func(w http.ResponseWriter, r *http.Request) {
+		for until, pause := range []time.Duration{0, 700 * time.Millisecond, 400 * time.Millisecond} {
+			time.Sleep(pause)
+			streamFrom(until+1, func() {})(w, r)
+			r.Header.Set("X-Last-Event", strconv.Itoa(until+1))
+		}
+	})
+	f.reportEndpoint("b", func() (detector.Report, bool) {
+		time.Sleep(300 * time.Millisecond)
+		return detector.Report{}, true
+	}, streamFrom(3, func() {}))
+	is.Equal(f.send("POST", "/engine/", "").body, events(3))
+	is.Equal(f.core.waitKinds(2), []decider.EventKind{decider.EventStarted, decider.EventFinished})
+}
--- a/relayer/watchdog.go
+++ b/relayer/watchdog.go
@@ -173,14 +173,21 @@
 }
 
 // replaceAttempt cancels the attempt if the core has another one that can follow. A sound endpoint may send nothing
-// for a while: without a replacement its response is worth waiting for.
+// for a while: without a replacement, or if it goes on meanwhile, its response is worth waiting for.
 func (wd *watchdog) replaceAttempt(reason classifier.RetryReason, cause error) {
-	if wd.ticket.Unresponsive(wd.ctx, wd.attempt, wd.target.Endpoint, reason, wd.responds) {
+	asked := time.Since(processStart)
+	abandon := wd.ticket.Unresponsive(wd.ctx, wd.attempt, wd.target.Endpoint, reason, wd.responds)
+	now := time.Since(processStart)
+	silence := wd.silence(now)
+	silent := silence.Endpoint
+	if reason == classifier.RetryResponseLost {
+		silent = silence.Attempt
+	}
+	if abandon && silent >= now-asked {
 		wd.abandon(cause)
 		return
 	}
-	now := time.Since(processStart)
-	wd.timer.Reset(wd.watch.Kept(now, wd.silence(now)).Wait)
+	wd.timer.Reset(wd.watch.Kept(now, silence).Wait)
 }
 
 func (wd *watchdog) abandon(cause error) {
