relayer: Report the first event of each attempt

Callers saw: an urgent stream that had been resumed once was cut when its next endpoint failed, although that one had a backup; a resumed stream didn't end the ejection of its endpoint. Cause: Started was reported only while no event had been sent at all, so a resumed attempt never counted as started. Ruled out: the core: it handles each attempt's first event. Change: the first event of each attempt is reported. Figures: TestResumedAttemptStarts before: waits for a fourth event that never comes (timeout after 20 s); after: passes.

--- a/relayer/events.go
+++ b/relayer/events.go
@@ -20,11 +20,12 @@
 
 // streamState tracks how much of a stream has been sent to the caller.
 type streamState struct {
-	lastEventID string       // id of the last event sent
-	events      namer.Tokens // sent so far
-	partial     []byte       // received bytes after the last complete event
-	firstAt     time.Time    // when the first event was sent
-	lastAt      time.Time    // when the last event was sent
+	lastEventID string        // id of the last event sent
+	events      namer.Tokens  // sent so far
+	partial     []byte        // received bytes after the last complete event
+	started     namer.Attempt // the last attempt whose first event has arrived
+	firstAt     time.Time     // when the first event was sent
+	lastAt      time.Time     // when the last event was sent
 	longestGap  time.Duration
 }
 
@@ -81,7 +82,8 @@
 		response.Header.Del("Content-Length") // another endpoint may continue the stream
 		x.writeHeader(response.Status, response.Header)
 	}
-	if x.stream.events == 0 {
+	if x.stream.started != action.Attempt {
+		x.stream.started = action.Attempt
 		x.ticket.Started(action.Attempt, action.Endpoint)
 	}
 	if _, err := x.w.Write(complete); err != nil {
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -46,6 +46,17 @@
 	}
 }
 
+// Guards against a resumed attempt that never counts as started, so that its endpoint stays ejected and its backup
+// is not used.
+func TestResumedAttemptStarts(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, dispatchTo("a", "b")...)
+	f.endpoint("a", streamFrom(2, abortConnection))
+	f.endpoint("b", streamFrom(5, func() {}))
+	is.Equal(f.send("POST", "/resumed/", "").body, events(5))
+	is.Equal(f.core.waitKinds(4), []decider.EventKind{decider.EventStarted, decider.EventFailed, decider.EventStarted, decider.EventFinished})
+}
+
 // Guards against a broken stream that looks complete to the caller.
 func TestBrokenStreamAbortsConnection(t *testing.T) {
 	is := is.New(t)
