placer: Try a begun response at a bounded number of engines

Cause: the limit of four endpoints didn't hold for responses that have begun, since a refusal cuts them. With refusing engines one stream went through the whole fleet, each arrival charged to the retry budget that all share. Change: a limit of eight. Figures: TestBegunStreamIsTriedAtFewEngines before: 20 engines, now 9 attempts (the first and eight more).

--- a/placer/observe.go
+++ b/placer/observe.go
@@ -118,7 +118,7 @@
 		c.dispatch(now, q, choice{endpoint: backup, fromBackup: true}, false)
 	case q.mayHaveRun && !q.Idempotent:
 		c.refuse(now, q, classifier.EndpointFailed, 0)
-	case (len(q.tried) > maxEndpointsTried && !q.mustContinue()) || (q.received && !retryPermitted) || q.attemptsReceived >= max(1, q.Attempts):
+	case len(q.tried) > q.endpointLimit() || (q.received && !retryPermitted) || q.attemptsReceived >= max(1, q.Attempts):
 		c.refuse(now, q, classifier.EndpointRefused, refusedRetry)
 	case q.prefilled:
 		q.attempt++
@@ -152,8 +152,20 @@
 	}
 }
 
-// maxEndpointsTried limits the endpoints tried for one request, including those that could not be reached.
-const maxEndpointsTried = 4
+// endpointLimit returns the number of endpoints after which a request is refused.
+func (q *request) endpointLimit() int {
+	if q.mustContinue() {
+		return maxEndpointsTriedBegun
+	}
+	return maxEndpointsTried
+}
+
+// Limits of the endpoints tried for one request, including those that could not be reached. A refusal would cut a
+// response that has begun, so more are tried for it.
+const (
+	maxEndpointsTried      = 4
+	maxEndpointsTriedBegun = 8
+)
 
 // recordEndpointSuccess records a success and reports the end of an ejection.
 func (c *Core) recordEndpointSuccess(e *endpoint) {
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -72,7 +72,7 @@
 // pickReplacement returns an endpoint at which the request could go on, or nil.
 func (c *Core) pickReplacement(now namer.Seconds, q *request) *endpoint {
 	switch {
-	case len(q.tried)+1 > maxEndpointsTried || !c.retryPermitted(now, q):
+	case len(q.tried)+1 > q.endpointLimit() || !c.retryPermitted(now, q):
 		return nil
 	case q.stage == prefilling:
 		return c.pickShortestQueue(now, q, false)
--- a/placer/unresponsive_test.go
+++ b/placer/unresponsive_test.go
@@ -319,3 +319,18 @@
 	f.observe(r, silence)
 	is.Equal(f.decided[r.request.ID], decider.ActionKind(0))
 }
+
+// Guards against a begun stream that goes on from one refusing engine to the next through the whole fleet.
+func TestBegunStreamIsTriedAtFewEngines(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 1, 0, 20)
+	f.view.Services[0].Backups = false
+	f.configure()
+	r := f.arrive(f.hosts[0], resumable)
+	f.run(f.now + time.Second)
+	tried := 0
+	for ; r.outcome == ""; tried++ {
+		f.fail(r, r.attempt, classifier.RetryEndpointRefused, true)
+	}
+	is.Equal(tried, 9)
+}
