--- a/placer/observe.go
+++ b/placer/observe.go
@@ -34,6 +34,9 @@
 		}
 	case decider.EventStarted:
 		c.recordStarted(at, q)
+		if q.stage == running && q.endpoint.health.ejectionPeriod > 0 {
+			c.recordEndpointSuccess(q.endpoint) // the rest of the response may take long
+		}
 	case decider.EventFinished:
 		c.recordStarted(at, q)
 		if q.endpoint != nil && e.Reason == "" {
@@ -48,7 +51,7 @@
 		c.releaseEndpoint(at, q)
 		c.removeRequest(q)
 	case decider.EventUnresponsive:
-		c.handleUnresponsive(at, q, e.Endpoint)
+		c.handleUnresponsive(at, q, e)
 	case decider.EventHealth:
 		c.handleProbe(at, q, e)
 	case decider.EventFailed:
@@ -85,7 +88,7 @@
 
 // handleFailure retries a failed attempt if that is safe and within the retry budget, or refuses the request.
 func (c *Core) handleFailure(now namer.Seconds, q *request, e decider.Event) {
-	if !q.unresponsive {
+	if q.abandoned != q.attempt { // otherwise it was recorded before
 		c.recordEndpointFailure(now, q.endpoint, e.Reason)
 	}
 	if e.RetryAfter > 0 {
@@ -108,14 +111,14 @@
 	replacement := q.replacement
 	q.replacement = nil
 	switch {
-	case replacement != nil && replacement != backup && replacement.usable(now, true) && c.endpoints[replacement.view.Name] == replacement:
-		c.dispatch(now, q, choice{endpoint: replacement, expectedDelay: replacement.queueDelay(now, q.class())}, false)
+	case replacement != nil && replacement.accepts(now) && c.endpoints[replacement.view.Name] == replacement:
+		c.dispatch(now, q, continueAt(now, q, replacement, started && replacement == backup), false)
 	case retryPermitted && started && !e.NotRun && c.backupUsable(now, q, backup):
 		// The request resumes on the engine that has a copy of its KV cache, so it still runs only once.
 		c.dispatch(now, q, choice{endpoint: backup, fromBackup: true}, false)
 	case q.mayHaveRun && !q.Idempotent:
 		c.refuse(now, q, classifier.EndpointFailed, 0)
-	case (len(q.tried) > maxEndpointsTried && !q.mustContinue()) || (q.received && !retryPermitted) || q.attemptsReceived >= max(1, q.Attempts):
+	case len(q.tried) > q.endpointLimit() || (q.received && !retryPermitted) || q.attemptsReceived >= max(1, q.Attempts):
 		c.refuse(now, q, classifier.EndpointRefused, refusedRetry)
 	case q.prefilled:
 		q.attempt++
@@ -149,8 +152,20 @@
 	}
 }
 
-// maxEndpointsTried limits the endpoints tried for one request, including those that could not be reached.
-const maxEndpointsTried = 4
+// endpointLimit returns the number of endpoints after which a request is refused.
+func (q *request) endpointLimit() int {
+	if q.mustContinue() {
+		return maxEndpointsTriedBegun
+	}
+	return maxEndpointsTried
+}
+
+// Limits of the endpoints tried for one request, including those that could not be reached. A refusal would cut a
+// response that has begun, so more are tried for it.
+const (
+	maxEndpointsTried      = 4
+	maxEndpointsTriedBegun = 8
+)
 
 // recordEndpointSuccess records a success and reports the end of an ejection.
 func (c *Core) recordEndpointSuccess(e *endpoint) {
