--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"testing"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"apricotspool/classifier"
 	"apricotspool/decider"
@@ -166,3 +168,25 @@
 		<-d.Done()
 	})
 }
+
+// reportingCore reports a blocked prompt part with each tick.
+type reportingCore struct{ decider.Core }
+
+func (*reportingCore) Tick(time.Time) []decider.Action {
+	return []decider.Action{{
+		Kind: decider.ActionReport, Report: decider.PromptPartBlocked, Part: 0x5c1e07a2, Ended: []namer.Endpoint{"e-1", "e-2"}, ReportDuration: time.Minute,
+	}}
+}
+
+// Guards against a blocked prompt part that the log doesn't name as callers do, or without the endpoints that ended.
+func TestBlockedPartIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var log bytes.Buffer
+		d := &dispatcher.Dispatcher{Core: &reportingCore{}, Log: zerolog.New(&log)}
+		ctx, stop := context.WithTimeout(t.Context(), dispatcher.DefaultTick+time.Millisecond)
+		defer stop()
+		d.Run(ctx)
+		is.Equal(log.String(), `{"level":"warn","lasting-ms":60000,"part":"5c1e07a2","endings":2,"endpoints":["e-1","e-2"],"message":"prompt-part-blocked"}`+"\n")
+	})
+}
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -76,9 +76,11 @@
 	// detectionShare is the share of the route's targets, as its divisor, in which the end is told from a broken
 	// connection.
 	detectionShare = 4
-	// A stream that goes on for minSoundTime, and soundRatio times as long as it is a suspect, counts as a success.
+	// soundRatio is the time for which a stream must go on to count as a success, relative to the time for which it is a
+	// suspect.
+	soundRatio = 2
+	// minSoundTime is the shortest such time.
 	minSoundTime namer.Seconds = 0.5
-	soundRatio                 = 2
 	// lostTTL is the time within which a failed attempt is explained by the end of its engine.
 	lostTTL  namer.Seconds = 2
 	maxLost                = 128
