quarantiner: Try a briefly blocked part after half a second

Change: the trial comes half a second after a brief block instead of one, so that fewer of them fall later than 3 s after the fifth ending.

--- a/quarantiner/block.go
+++ b/quarantiner/block.go
@@ -40,7 +40,7 @@
 const (
 	// briefBlock is the length of a block on weak evidence. The trial after it tells a part that ends engines from a
 	// sound one that was there by chance.
-	briefBlock namer.Seconds = 1
+	briefBlock namer.Seconds = 0.5
 	// minBlock is the length of the first other block. It becomes longer by blockGrowth with each failed trial, which
 	// costs an engine.
 	minBlock    namer.Seconds = 60
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -243,7 +243,9 @@
 }
 
 // suspicious reports whether a part has enough endings to be looked at.
-func (r *record) suspicious() bool { return len(r.endings) >= minEndings && r.requests() >= minRequests }
+func (r *record) suspicious() bool {
+	return len(r.endings) >= minEndings && r.requests() >= minRequests
+}
 
 // requests returns the number of requests whose endings count.
 func (r *record) requests() int {
