assembler: A gateway is ready once its core knows the fleet

Callers saw: 503 from a gateway that had just said that it is ready. Cause: readiness followed the routes and the endpoints' addresses, which are published before the decision core receives the fleet. A request in between was refused with no-endpoint. Change: readiness follows the delivery to the core, which keeps the order of what it receives.

--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -35,8 +35,9 @@
 
 	configObjectVersion storer.Version // version of the configuration's object in the store
 
-	table   atomic.Pointer[matcher.Table]
-	targets atomic.Pointer[map[namer.Endpoint]forwarder.Target]
+	table      atomic.Pointer[matcher.Table]
+	targets    atomic.Pointer[map[namer.Endpoint]forwarder.Target]
+	configured atomic.Bool // the core has received the fleet
 	// ownEntryRead is set when the core has received this daemon's own entry, which may be from an earlier start.
 	ownEntryRead atomic.Bool
 }
@@ -55,7 +56,7 @@
 }
 
 // Ready reports whether both the routing table and the endpoints are known.
-func (f *gatewayFleet) Ready() bool { return f.table.Load() != nil && f.targets.Load() != nil }
+func (f *gatewayFleet) Ready() bool { return f.configured.Load() }
 
 // Run applies changes of the configuration, the endpoints and the membership until ctx ends.
 func (f *gatewayFleet) Run(ctx context.Context) error {
@@ -89,6 +90,7 @@
 	if err := f.dispatcher.Configure(ctx, fleet); err != nil {
 		return err
 	}
+	f.configured.Store(true)
 	if slices.ContainsFunc(fleet.Members, func(m decider.MemberView) bool { return m.Host == f.settings.Host }) {
 		f.ownEntryRead.Store(true)
 	}
