relayer: Report and log the rate limits that endpoints state

What callers saw: nothing; an endpoint in need got 175 to 185 requests in 4 s where 58 to 72 are allowed. The logs don't show what an endpoint has said, so that 'nothing reads it' can't be told from 'each daemon keeps it for itself'.

Nothing acts on it yet.

Ruled out: one event for each response without the header; only those of attempts at an endpoint that is known to be limited are reported, an earlier one can't lift the limit anyway.

--- a/decider/event.go
+++ b/decider/event.go
@@ -77,6 +77,8 @@
 	EventHealth
 	// EventLeaving reports that Endpoint has announced in a response that it is leaving.
 	EventLeaving
+	// EventLimit reports what a response of Endpoint says about its rate limit.
+	EventLimit
 	// EventUnresponsive reports that the endpoint of the current attempt sends nothing; Reason says whether it
 	// responds to other attempts. The core answers with ActionProbe, ActionAbandon or ActionKeep.
 	EventUnresponsive
@@ -101,12 +103,33 @@
 
 	Load Load // EventLoad
 
+	// Limit and RequestedAt, the time of the call that the response belongs to; EventLimit.
+	Limit       StatedLimit
+	RequestedAt time.Time
+
 	Added, Dropped []uint64 // EventCache
 	Reset          bool     // EventCache: a gap in the events or a restart; earlier cache state is invalid
 
 	Healthy bool // EventHealth
 }
 
+// LimitState tells what a response says about a rate limit.
+type LimitState int
+
+// The states of a StatedLimit.
+const (
+	LimitAbsent  LimitState = iota // the endpoint has no limit
+	LimitInvalid                   // the response says nothing about it
+	LimitStated
+)
+
+// StatedLimit is the rate limit that a response states. It holds for all daemons together, until a later response
+// states another one or none.
+type StatedLimit struct {
+	State LimitState
+	Rate  namer.Rate // LimitStated
+}
+
 // Load is an endpoint's own report of its load.
 type Load struct {
 	At             time.Time // sampling time, on the daemon's clock
@@ -169,6 +192,8 @@
 	Retry classifier.RetryReason
 	// FinalAttempt is set when no further attempt follows if this one fails.
 	FinalAttempt bool
+	// Limited is set when Endpoint has a rate limit, so that a response without one lifts it.
+	Limited bool
 	// Basis holds the predictions behind the decision. An endpoint that sends nothing for no longer than
 	// Basis.Expected is not considered faulty.
 	Basis Basis
@@ -176,6 +201,8 @@
 	// ReportDuration unless that is 0.
 	Report         Report
 	ReportDuration time.Duration
+	// Limit is the rate limit of a report.
+	Limit namer.Rate
 	// Part is the prompt part of a report, and Ended the endpoints that ended while they ran requests with it.
 	Part  uint64
 	Ended []namer.Endpoint
@@ -196,10 +223,12 @@
 
 // The reports of a Core.
 const (
-	EndpointEjected    Report = "endpoint-ejected"  // ejected as an outlier; gets no requests for a while
-	EndpointReturned   Report = "endpoint-returned" // readmitted after serving a request
-	DaemonUnresponsive Report = "daemon-silent"     // not asked for reservations for a while
-	DaemonResponsive   Report = "daemon-answers"    // answers reservation requests again
+	EndpointEjected    Report = "endpoint-ejected"   // ejected as an outlier; gets no requests for a while
+	EndpointReturned   Report = "endpoint-returned"  // readmitted after serving a request
+	EndpointLimited    Report = "endpoint-limited"   // takes Limit requests a second from all daemons together
+	EndpointUnlimited  Report = "endpoint-unlimited" // takes any number of requests again
+	DaemonUnresponsive Report = "daemon-silent"      // not asked for reservations for a while
+	DaemonResponsive   Report = "daemon-answers"     // answers reservation requests again
 
 	PromptPartSuspected Report = "prompt-part-suspected" // several endpoints have ended under it, without a success
 	PromptPartBlocked   Report = "prompt-part-blocked"   // requests with it are refused for a while
--- a/dispatcher/ticket.go
+++ b/dispatcher/ticket.go
@@ -122,6 +122,11 @@
 	t.report(decider.Event{Kind: decider.EventLeaving, Endpoint: at})
 }
 
+// Limited reports what the response to a call that was sent at a time says about the rate limit of its endpoint.
+func (t *Ticket) Limited(at namer.Endpoint, requestedAt time.Time, limit decider.StatedLimit) {
+	t.report(decider.Event{Kind: decider.EventLimit, Endpoint: at, RequestedAt: requestedAt, Limit: limit})
+}
+
 // Cancelled reports that the request has ended in any other way, for example because the caller has
 // disconnected.
 func (t *Ticket) Cancelled() { t.report(decider.Event{Kind: decider.EventCancelled}) }
--- a/namer/unit.go
+++ b/namer/unit.go
@@ -16,6 +16,8 @@
 	FencingToken uint64
 	// Incarnation distinguishes restarts of a process; a later start has a greater value.
 	Incarnation uint64
+	// Rate is a number of requests per second.
+	Rate float64
 	// Attempt numbers the attempts of a request, starting at 1.
 	Attempt int
 )
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -5,6 +5,7 @@
 
 	"apricotspool/decider"
 	"apricotspool/namer"
+	"apricotspool/throttler"
 )
 
 // endpoint is this daemon's view of one endpoint.
@@ -17,6 +18,7 @@
 	// announcedLeaving is set when the endpoint has said in a response that it is leaving. It holds until the
 	// endpoint is gone or has restarted.
 	announcedLeaving bool
+	limit            throttler.Limit
 	// turnsAwayUntil is the time until which the endpoint wants no requests from this daemon.
 	turnsAwayUntil namer.Seconds
 
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -18,6 +18,10 @@
 		}
 		return c.actions
 	}
+	if e.Kind == decider.EventLimit {
+		c.observeLimit(c.seconds(now), e)
+		return c.actions
+	}
 	q := c.requests[e.Request]
 	if q == nil || (e.Attempt != 0 && e.Attempt != q.attempt) {
 		return c.actions
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -49,6 +49,7 @@
 	if action.FromBackup {
 		handle = Handle{At: target.Address, ID: x.call.ID}
 	}
+	sentAt := time.Now()
 	response, err := x.relayer.Endpoints.Forward(ctx, target, x.buildCall(Attempt{
 		Endpoint: action.Endpoint, Remaining: time.Until(x.deadline), HasPriority: x.route.Kind == matcher.Stream,
 		Priority: action.Priority, LastEvent: x.resumeAfter(), Handle: handle, Fetch: x.endpointAddress(action.Fetch),
@@ -63,7 +64,7 @@
 		return x.handleForwardError(ctx, action, err)
 	}
 	defer response.Body.Close()
-	verdict := x.classify(action, response)
+	verdict := x.classify(action, sentAt, response)
 	if verdict.NotRun {
 		x.releaseHandle(handle)
 		x.handleRefusal(action, response, verdict)
@@ -98,14 +99,26 @@
 }
 
 // classify interprets the status and header of a response, and reports an endpoint that is leaving.
-func (x *exchange) classify(action decider.Action, response *forwarder.Response) Verdict {
+func (x *exchange) classify(action decider.Action, sentAt time.Time, response *forwarder.Response) Verdict {
 	verdict := x.relayer.Dialect.Classify(response.Status, response.Header)
 	if verdict.Leaving {
 		x.ticket.Leaving(action.Endpoint)
 	}
+	authentic := verdict.Signed || verdict.NotRun || (action.Kind == decider.ActionPrefill && response.Status == http.StatusOK)
+	if verdict.statesLimit() || (action.Limited && authentic && verdict.lacksLimit()) {
+		x.ticket.Limited(action.Endpoint, sentAt, verdict.Limit)
+	}
 	return verdict
 }
 
+// statesLimit reports whether the endpoint itself has stated a rate limit.
+func (v Verdict) statesLimit() bool { return v.Limit.State == decider.LimitStated && !v.WrongEndpoint }
+
+// lacksLimit reports whether the endpoint itself has responded without a rate limit.
+func (v Verdict) lacksLimit() bool {
+	return v.Limit.State == decider.LimitAbsent && !v.WrongEndpoint
+}
+
 // endIfDone ends the request if its context is done for another reason than the watchdog. It reports
 // whether it did.
 func (x *exchange) endIfDone(ctx context.Context) bool {
@@ -279,6 +292,7 @@
 // prefill has an engine process the prompt and hold its KV cache for another engine. It reports whether
 // the request has ended.
 func (x *exchange) prefill(ctx context.Context, wd *watchdog, action decider.Action, target forwarder.Target) bool {
+	sentAt := time.Now()
 	response, err := x.relayer.Endpoints.Forward(ctx, target, x.buildCall(Attempt{
 		Endpoint: action.Endpoint, Remaining: time.Until(x.deadline), HasPriority: true, Priority: action.Priority, Prefill: true,
 		Fetch: x.endpointAddress(action.Fetch),
@@ -286,7 +300,7 @@
 	var verdict Verdict
 	if err == nil {
 		defer response.Body.Close()
-		verdict = x.classify(action, response)
+		verdict = x.classify(action, sentAt, response)
 		var body []byte
 		if body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes)); err == nil {
 			x.handle, err = x.relayer.Dialect.DecodeHandle(target.Address, response.Status, body)
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -80,6 +80,7 @@
 	WrongEndpoint bool // another endpoint uses the address, or the endpoint has another role
 	Signed        bool // the response carries the endpoint's signature
 	Leaving       bool // the endpoint is about to leave
+	Limit         decider.StatedLimit
 	// RetryAfter is how long the endpoint wants no requests from this daemon; 0 if it does not say.
 	RetryAfter time.Duration
 }
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -52,9 +52,13 @@
 }
 
 func (dialect) Classify(status int, header http.Header) relayer.Verdict {
-	return relayer.Verdict{
+	verdict := relayer.Verdict{
 		NotRun: header.Get("X-Not-Run") != "", Signed: header.Get("X-Stamp") != "", WrongEndpoint: status == http.StatusMisdirectedRequest,
 	}
+	if rate, err := strconv.ParseFloat(header.Get("X-Limit"), 64); err == nil {
+		verdict.Limit = decider.StatedLimit{State: decider.LimitStated, Rate: namer.Rate(rate)}
+	}
+	return verdict
 }
 
 func (dialect) DecodeHandle(at netip.AddrPort, status int, body []byte) (relayer.Handle, error) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -18,9 +18,10 @@
 	"apricotspool/recorder"
 )
 
-// Dispatcher submits requests to the decision core.
+// Dispatcher submits requests to the decision core, and reports events of endpoints that belong to no request.
 type Dispatcher interface {
 	Submit(ctx context.Context, r decider.Request) (*dispatcher.Ticket, error)
+	Report(e decider.Event)
 }
 
 // Relayer is an http.Handler that proxies requests to endpoints. Set the exported fields before use.
--- a/relayer/reports.go
+++ b/relayer/reports.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotspool/decider"
 	"apricotspool/detector"
 	"apricotspool/forwarder"
 	"apricotspool/namer"
@@ -83,6 +84,7 @@
 
 func (r *Relayer) fetchReport(ctx context.Context, target forwarder.Target) (detector.Report, error) {
 	method, path, header := r.Dialect.ReportCall(target.Endpoint)
+	sentAt := time.Now()
 	response, err := r.Endpoints.Forward(ctx, target, forwarder.Call{Method: method, Path: path, Header: header})
 	if err != nil {
 		return detector.Report{}, err
@@ -92,8 +94,12 @@
 	if err != nil {
 		return detector.Report{}, errors.Wrap(err, "read report")
 	}
-	if r.Dialect.Classify(response.Status, response.Header).WrongEndpoint {
+	verdict := r.Dialect.Classify(response.Status, response.Header)
+	if verdict.WrongEndpoint {
 		return detector.Report{}, errReplaced
 	}
+	if verdict.statesLimit() {
+		r.Dispatcher.Report(decider.Event{Kind: decider.EventLimit, Endpoint: target.Endpoint, RequestedAt: sentAt, Limit: verdict.Limit})
+	}
 	return r.Dialect.DecodeReport(response.Status, body)
 }
