--- a/throttler/limit_test.go
+++ b/throttler/limit_test.go
@@ -58,4 +58,3 @@
 	is.True(l.Known())
 	is.True(!l.Limited())
 }
-
