--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -19,7 +19,7 @@
 // fleet simulates the cores of several daemons and engine models in virtual time. Messages and requests take
 // networkDelay.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	random  *rand.Rand
 	now     time.Duration
 	pending events
@@ -113,7 +113,7 @@
 }
 
 // newFleet returns a fleet of daemons, prefill engines and decode engines, with the prefill engines first.
-func newFleet(t *testing.T, hosts, prefillEngines, decodeEngines int) *fleet {
+func newFleet(t testing.TB, hosts, prefillEngines, decodeEngines int) *fleet {
 	return newFleetOf(t, prefillClass, hosts, prefillEngines, decodeEngines)
 }
 
@@ -127,7 +127,7 @@
 }
 
 // newFleetOf returns a fleet with a class of prefill engines.
-func newFleetOf(t *testing.T, prefillClass modeler.Class, hosts, prefillEngines, decodeEngines int) *fleet {
+func newFleetOf(t testing.TB, prefillClass modeler.Class, hosts, prefillEngines, decodeEngines int) *fleet {
 	f := &fleet{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), engines: map[namer.Endpoint]*engine{}, requests: map[namer.StreamID]*trackedRequest{},
 		basis: map[namer.StreamID]decider.Basis{}, decided: map[namer.StreamID]decider.ActionKind{}, silent: map[namer.Endpoint]bool{}, knownAt: map[uint64]map[namer.Endpoint]bool{},
--- a/placer/limit_test.go
+++ b/placer/limit_test.go
@@ -9,6 +9,7 @@
 
 	"apricotspool/classifier"
 	"apricotspool/decider"
+	"apricotspool/messenger"
 	"apricotspool/namer"
 	"apricotspool/placer"
 )
@@ -291,3 +292,34 @@
 	}
 	is.Equal(last.outcome, classifier.EndpointsLimited)
 }
+
+// Measures the messages about one limited endpoint, by the number of daemons that have more requests than it takes.
+//
+//	go test ./placer -run '^$' -bench RateLimit -benchtime 1x
+func BenchmarkRateLimit(b *testing.B) {
+	for _, hosts := range []int{9, 60, 420} {
+		b.Run(fmt.Sprint(hosts), func(b *testing.B) {
+			f := newFleet(b, hosts, 0, 1)
+			f.view.Services[0].Plain = true
+			f.configure()
+			f.limitAll(5, f.names[0])
+			f.generateLoad(plainCall, 10*float64(hosts), 10*time.Second)
+			f.run(5 * time.Second)
+			messages, size := 0, 0
+			f.inspect = func(_ namer.Host, m placer.Message) {
+				if m.ReserveRequest == nil && m.ReserveResponse == nil {
+					return
+				}
+				encoded, err := messenger.Marshal(m)
+				if err != nil {
+					b.Fatal(err)
+				}
+				messages, size = messages+1, size+len(encoded)
+			}
+			f.run(10 * time.Second)
+			b.ReportMetric(float64(messages)/5/float64(hosts), "messages/s/daemon")
+			b.ReportMetric(float64(messages)/5, "messages/s/owner")
+			b.ReportMetric(float64(size)/float64(max(1, messages)), "B/message")
+		})
+	}
+}
