relayer: Log fingerprints of requests and the ends of plain endpoints

What callers saw: a service without endpoints for three seconds at a time, again and again. The logs don't tell requests that come again from others, nor the end of a plain endpoint from a broken connection.

The core is told, and has no use for it yet: it finds no suspects among requests without prompt parts.

Tests: relayer TestEndedPlainEndpointIsTold, TestRepetitionsHaveOneFingerprint. Packages relayer, placer and dispatcher pass.

--- a/decider/event.go
+++ b/decider/event.go
@@ -42,8 +42,13 @@
 	Parts []Part
 	// Attempts limits the number of attempts of this request; 0 means no limit beyond the general ones.
 	Attempts int
+	// Fingerprint is the same for requests that are the same to an endpoint; 0 if unknown.
+	Fingerprint Fingerprint
 }
 
+// Fingerprint is a hash of what an endpoint receives of a request.
+type Fingerprint uint64
+
 // Part is a piece of a prompt that engines cache as a whole.
 type Part struct {
 	ID     uint64
--- a/relayer/ended.go
+++ b/relayer/ended.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"syscall"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"apricotspool/classifier"
 	"apricotspool/decider"
+	"apricotspool/detector"
 	"apricotspool/forwarder"
 )
 
@@ -37,11 +39,11 @@
 	x.ticket.EndpointEnded(action.Attempt, action.Endpoint, reason, x.stream.events)
 }
 
-// endpointEnded reports whether the engine of a broken attempt is known to have ended. It doesn't wait long for
+// endpointEnded reports whether the endpoint of a broken attempt is known to have ended. It doesn't wait long for
 // one that is silent.
 func (x *exchange) endpointEnded(action decider.Action) bool {
 	target, known := x.relayer.Target(action.Endpoint)
-	if !x.engine || !known {
+	if !known {
 		return false
 	}
 	limit := cmp.Or(x.route.Target, defaultTarget)
@@ -50,16 +52,20 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), limit/endedShare)
 	defer cancel()
-	return x.relayer.reports.ended(ctx, x.relayer, target)
+	check := x.relayer.fetchReport
+	if !x.engine {
+		check = x.relayer.connect
+	}
+	return x.relayer.reports.ended(ctx, x.relayer, target, check)
 }
 
 // ended reports whether an endpoint's process is known to have ended. An answer to an earlier call doesn't show
 // that the endpoint is still there.
-func (c *reportCache) ended(ctx context.Context, r *Relayer, target forwarder.Target) bool {
+func (c *reportCache) ended(ctx context.Context, r *Relayer, target forwarder.Target, check reportFunc) bool {
 	since := time.Now()
 	var call *reportCall
 	for range maxEndedCalls {
-		call = c.join(r, target, call)
+		call = c.join(r, target, call, check)
 		select {
 		case <-call.done:
 		case <-ctx.Done():
@@ -74,3 +80,13 @@
 	}
 	return false
 }
+
+// connect checks whether anything listens at the address of a plain endpoint, which has no load report. A request for its
+// health would wait for a slot.
+func (r *Relayer) connect(ctx context.Context, target forwarder.Target) (detector.Report, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", target.Address.String())
+	if err != nil {
+		return detector.Report{}, errors.Wrap(err, "connect to endpoint")
+	}
+	return detector.Report{}, errors.Wrap(conn.Close(), "close connection")
+}
--- a/relayer/ended_test.go
+++ b/relayer/ended_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"apricotspool/classifier"
+	"apricotspool/decider"
 	"apricotspool/detector"
 	"apricotspool/forwarder"
 )
@@ -105,3 +106,48 @@
 	}
 	is.Equal(ended, []bool{false, true})
 }
+
+// Guards against the end of a plain endpoint being taken for a broken connection, and the reverse.
+func TestEndedPlainEndpointIsTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		start func(*fixture)
+		ended bool
+	}{
+		"ended": {func(f *fixture) { f.closableEngine(endProcess) }, true},
+		"alive": {func(f *fixture) {
+			f.endpoint("a", func(http.ResponseWriter, *http.Request) { abortConnection() })
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, dispatchTo("a", "b")...)
+			c.start(f)
+			f.endpoint("b", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "x") })
+			is.Equal(f.send("POST", "/safe/", "").body, "x")
+			failed := f.core.waitEvents(1)[0]
+			is.Equal(failed.Reason, classifier.RetryStreamBroken)
+			is.Equal(failed.Ended, c.ended)
+		})
+	}
+}
+
+// Guards against repetitions of a request that can't be told from other requests, and against other requests that are
+// taken for repetitions.
+func TestRepetitionsHaveOneFingerprint(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	fingerprint := func(method, path, body string, header ...string) decider.Fingerprint {
+		f.core.reset(nil)
+		f.send(method, path, body, header...)
+		f.core.mu.Lock()
+		defer f.core.mu.Unlock()
+		return f.core.request.Fingerprint
+	}
+	first := fingerprint("POST", "/safe/1", "x", "X-Id", "id-1")
+	is.Equal(fingerprint("POST", "/safe/1", "x", "X-Id", "id-2", "X-Patience", "300"), first)
+	others := map[decider.Fingerprint]bool{
+		first: true, fingerprint("POST", "/safe/2", "x"): true, fingerprint("POST", "/safe/1", "y"): true, fingerprint("PUT", "/safe/1", "x"): true,
+		fingerprint("POST", "/safe/1?q=1", "x"): true, fingerprint("POST", "/safe/1", ""): true, 0: true,
+	}
+	is.Equal(len(others), 7)
+}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -32,6 +32,8 @@
 	engine   bool      // the service is one of engines, which report their load
 	deadline time.Time // the earlier of the caller's and the route's
 	body     []byte
+	// fingerprint is set once the body has been read.
+	fingerprint decider.Fingerprint
 
 	ticket       *dispatcher.Ticket
 	ticketClosed bool                   // the decision core no longer tracks the request
@@ -77,7 +79,11 @@
 		limit = x.call.Timeout
 	}
 	x.deadline = x.startTime.Add(limit)
-	return x.readBody(table.Limits.BodyBytes)
+	if !x.readBody(table.Limits.BodyBytes) {
+		return false
+	}
+	x.fingerprint = fingerprintOf(x.r, x.body)
+	return true
 }
 
 func (x *exchange) readBody(limit int64) bool {
@@ -117,6 +123,7 @@
 		ID: namer.NewStreamID(), Service: x.service, Model: x.call.Model, Idempotent: x.route.Repeatable(),
 		PromptTokens: x.call.Prompt, MaxTokens: x.expectedOutput(), Deadline: x.deadline, Target: x.route.Target, TargetGap: x.route.TargetGap,
 		Priority: x.route.Priority, Parts: x.call.Parts, Attempts: x.route.Attempts, Patience: patience,
+		Fingerprint: x.fingerprint,
 	})
 	if err != nil {
 		x.refuse(classifier.Draining, defaultRetryAfter)
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -43,8 +43,9 @@
 	}
 }
 
-// addParts adds the ids of the prompt's parts, in order.
+// addParts adds the request's fingerprint and the ids of the prompt's parts, in order.
 func (x *exchange) addParts(event *zerolog.Event) {
+	event.Str("fingerprint", strconv.FormatUint(uint64(x.fingerprint), 16))
 	if len(x.call.Parts) == 0 {
 		return
 	}
--- a/relayer/reports.go
+++ b/relayer/reports.go
@@ -40,7 +40,7 @@
 // ask returns a report of an endpoint that is at most detector.ReportLag old, or an error if the endpoint doesn't
 // respond.
 func (c *reportCache) ask(ctx context.Context, r *Relayer, target forwarder.Target) (detector.Report, error) {
-	call := c.join(r, target, nil)
+	call := c.join(r, target, nil, r.fetchReport)
 	select {
 	case <-call.done:
 		return call.report, call.err
@@ -49,8 +49,11 @@
 	}
 }
 
+// reportFunc fetches a report, or fails because the endpoint doesn't respond.
+type reportFunc func(ctx context.Context, target forwarder.Target) (detector.Report, error)
+
 // join returns the current call to an endpoint, or a new one if there is none or it is the stale one.
-func (c *reportCache) join(r *Relayer, target forwarder.Target, stale *reportCall) *reportCall {
+func (c *reportCache) join(r *Relayer, target forwarder.Target, stale *reportCall, fetch reportFunc) *reportCall {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -61,16 +64,16 @@
 			c.calls = map[namer.Endpoint]*reportCall{}
 		}
 		c.calls[target.Endpoint] = call
-		go c.fetch(r, target, call)
+		go c.fetch(r, target, call, fetch)
 	}
 	return call
 }
 
-func (c *reportCache) fetch(r *Relayer, target forwarder.Target, call *reportCall) {
+func (c *reportCache) fetch(r *Relayer, target forwarder.Target, call *reportCall, fetch reportFunc) {
 	defer close(call.done)
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	call.report, call.err = r.fetchReport(ctx, target)
+	call.report, call.err = fetch(ctx, target)
 	r.Metrics.Report(call.err == nil)
 	c.mu.Lock()
 	call.endsAt = time.Now().Add(detector.ReportLag)
