--- a/assembler/gateway_crashing_part_test.go
+++ b/assembler/gateway_crashing_part_test.go
@@ -64,7 +64,7 @@
 	)
 	s := newSite(t)
 	s.configureDefaultRoutes()
-	part := &platformtest.CrashingPart{ID: "c", EntryTTL: time.Second, Downtime: 1500 * time.Millisecond}
+	part := &platformtest.CrashingWork{ID: "c", EntryTTL: time.Second, Downtime: 1500 * time.Millisecond}
 	s.CrashOn(part)
 	for i := range 2 {
 		s.startServer(fmt.Sprintf("read-%d", i), platformtest.ModelService, "prefill")
