quarantiner: Block requests that come again and end their endpoints

Cause: the quarantine saw prompt parts only, and demands two different requests for each; the end of a plain endpoint was no evidence at all.

Change, in the same table: a request is a part of its own (its fingerprint, in a space that callers' part ids can't reach). Two endings in a row without a success hold it back everywhere: new arrivals are refused (request-blocked, 0.3 s) until the first daemon in rank has asked the others for a success (0.1 s), then one is tried alone, by any daemon that has one; the others are told. A failed trial blocks it for a minute, a success clears it everywhere. A whole request explains prompt parts that were present at its endings, not the other way round.

Ruled out: three endings before it is held back (all of a service with four endpoints); a block without a trial (sound requests that ran beside); counting arrivals at one daemon (each sees a few).

The simulated requests of all placer tests have fingerprints now, their checks are the same.

--- a/assembler/gateway_crashing_request_test.go
+++ b/assembler/gateway_crashing_request_test.go
@@ -98,7 +98,7 @@
 			} else {
 				traffic.send(20*time.Millisecond, "POST", "/ask/1")
 			}
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(window) // the gateways know each other
 			traffic.repeat(200*time.Millisecond, c.method, work)
 			eventually(t, "a crash", func() bool { return len(work.Crashes()) > 0 })
 			for limit := time.Now().Add(3 * time.Second); len(work.Crashes()) < 3 && time.Now().Before(limit); {
--- a/classifier/outcome.go
+++ b/classifier/outcome.go
@@ -42,6 +42,7 @@
 	EndpointFailed     Outcome = "endpoint-failed"
 	EndpointRefused    Outcome = "endpoint-refused"
 	PromptBlocked      Outcome = "prompt-blocked"
+	RequestBlocked     Outcome = "request-blocked"
 	EndpointsLimited   Outcome = "endpoints-limited"
 	StreamGone         Outcome = "stream-gone"
 	CallerDisconnected Outcome = "caller-gone"
@@ -76,6 +77,7 @@
 	EndpointFailed:     {http.StatusBadGateway, Unknown, false, "The endpoint failed while it executed the request."},
 	EndpointRefused:    {http.StatusServiceUnavailable, NotRun, true, "Every endpoint that was asked refused the request before execution."},
 	PromptBlocked:      {http.StatusServiceUnavailable, NotRun, true, "Endpoints have ended under a part of the prompt; it is tried again after a while."},
+	RequestBlocked:     {http.StatusServiceUnavailable, NotRun, true, "Endpoints have ended under this request; it is tried again after a while."},
 	EndpointsLimited:   {http.StatusServiceUnavailable, NotRun, true, "The endpoints of the service have reached the request rates that they state."},
 	StreamGone:         {http.StatusGone, Unknown, false, "No endpoint knows the stream any more."},
 	CallerDisconnected: {499, Unknown, false, "The caller closed the connection."},
--- a/decider/event.go
+++ b/decider/event.go
@@ -46,7 +46,7 @@
 	Fingerprint Fingerprint
 }
 
-// Fingerprint is a hash of what an endpoint receives of a request.
+// Fingerprint is a hash of what an endpoint receives of a request, of 63 bits.
 type Fingerprint uint64
 
 // Part is a piece of a prompt that engines cache as a whole.
@@ -239,5 +239,8 @@
 
 	PromptPartSuspected Report = "prompt-part-suspected" // several endpoints have ended under it, without a success
 	PromptPartBlocked   Report = "prompt-part-blocked"   // requests with it are refused for a while
-	PromptPartCleared   Report = "prompt-part-cleared"   // a request with it has succeeded
+	RequestSuspected    Report = "request-suspected"     // as for a prompt part, for a request that comes again
+	RequestBlocked      Report = "request-blocked"
+	RequestCleared      Report = "request-cleared"
+	PromptPartCleared   Report = "prompt-part-cleared" // a request with it has succeeded
 )
--- a/placer/core.go
+++ b/placer/core.go
@@ -182,6 +182,7 @@
 	at := c.seconds(now)
 	q := &request{Request: r, pool: c.pools[r.Service], arrived: at, deadline: c.seconds(r.Deadline)}
 	q.firstEventBy = q.deadline
+	q.suspicion.parts = suspectParts(&q.Request)
 	if r.Patience > 0 {
 		q.firstEventBy = min(q.deadline, at+namer.SecondsOf(r.Patience))
 	}
--- a/placer/evidence.go
+++ b/placer/evidence.go
@@ -18,6 +18,7 @@
 	Clears  []PartClear
 	Blocks  []PartBlock
 	Answers []Answer
+	Trials  []quarantiner.Part // that the sender has begun
 }
 
 // EngineEnding reports the end of an engine's process, with those of the sender's requests that may have caused it.
@@ -81,7 +82,7 @@
 )
 
 func (m *Quarantine) check() error {
-	if max(len(m.Endings), len(m.Asks), len(m.Clears), len(m.Blocks), len(m.Answers)) > maxListed {
+	if max(len(m.Endings), len(m.Asks), len(m.Clears), len(m.Blocks), len(m.Answers), len(m.Trials)) > maxListed {
 		return errors.Errorf("a list has more than %d elements", maxListed)
 	}
 	for _, e := range m.Endings {
@@ -152,6 +153,7 @@
 	ending  *quarantiner.Ending
 	cleared *quarantiner.Cleared
 	block   *quarantiner.Block
+	trial   *quarantiner.Part
 	sent    int
 	nextAt  namer.Seconds
 }
@@ -277,6 +279,8 @@
 			e.Suspects = append(e.Suspects, EndingSuspect{Request: s.Request, Age: ageOf(now, s.DispatchedAt), Parts: s.Parts})
 		}
 		m.Endings = append(m.Endings, e)
+	case n.trial != nil:
+		m.Trials = append(m.Trials, *n.trial)
 	case n.cleared != nil:
 		m.Clears = append(m.Clears, PartClear{Part: n.cleared.Part, Age: ageOf(now, n.cleared.At), Endings: n.cleared.Endings})
 	case n.block != nil:
@@ -302,7 +306,15 @@
 func (c *Core) receiveQuarantine(now namer.Seconds, from namer.Host, m *Quarantine) {
 	table := &c.quarantine.table
 	for _, p := range m.Clears {
-		c.reportCleared(table.Clear(now, quarantiner.Cleared{Part: p.Part, At: now - p.Age, Endings: p.Endings}))
+		cleared := table.Clear(now, quarantiner.Cleared{Part: p.Part, At: now - p.Age, Endings: p.Endings})
+		c.reportCleared(cleared)
+		if p.Part.Whole() && c.quarantine.asked[p.Part] != nil {
+			c.quarantine.outbox.add(notice{cleared: &cleared}) // the others hold it back until they know
+			delete(c.quarantine.asked, p.Part)
+		}
+	}
+	for _, part := range m.Trials {
+		table.AwaitTrial(now, part)
 	}
 	for _, e := range m.Endings {
 		if c.pools[e.Service] != nil {
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -35,6 +35,12 @@
 
 	// crashingPart is a prompt part under which an engine ends soon after it has begun to generate.
 	crashingPart uint64
+	// crashingRequest is the fingerprint of requests that do so, if it isn't 0.
+	crashingRequest decider.Fingerprint
+	// sameUnknown says that the daemons don't know which requests are the same.
+	sameUnknown bool
+	// answered counts the requests of ask that were served, after repetitions too.
+	answered int
 	// crashesAtOnce says that an engine ends before it has sent the first event of such a request.
 	crashesAtOnce bool
 	ends          []time.Duration // of engines under it
@@ -439,6 +445,7 @@
 	idempotent             bool
 	attempts               int // 0 means 2
 	patience               time.Duration
+	fingerprint            decider.Fingerprint // 0 for one that no other request has
 }
 
 // longPrompt has a long prompt and a short output, longOutput a short prompt and a long output.
@@ -460,11 +467,15 @@
 		ID: namer.StreamID(fmt.Sprintf("r-%d", len(f.all))), Service: service, Idempotent: k.idempotent, PromptTokens: k.prompt,
 		MaxTokens: k.output, Deadline: f.time().Add(15 * time.Second), Target: k.target, TargetGap: 150 * time.Millisecond,
 		Priority: k.priority, Attempts: cmp.Or(k.attempts, 2), Patience: k.patience,
-		Parts: append(slices.Clone(shared), decider.Part{ID: uint64(len(f.all)) + 1<<50, Tokens: ownTokens}),
+		Fingerprint: cmp.Or(k.fingerprint, decider.Fingerprint(len(f.all))+1<<40),
+		Parts:       append(slices.Clone(shared), decider.Part{ID: uint64(len(f.all)) + 1<<50, Tokens: ownTokens}),
 	}}
 	if k.output < k.prompt {
 		r.request.Deadline = f.time().Add(2 * time.Second)
 	}
+	if f.sameUnknown {
+		r.request.Fingerprint = 0
+	}
 	f.all = append(f.all, r)
 	f.requests[r.request.ID] = r
 	f.perform(h, h.core.Arrive(f.time(), r.request))
--- a/placer/quarantine.go
+++ b/placer/quarantine.go
@@ -11,9 +11,9 @@
 	"apricotspool/quarantiner"
 )
 
-// quarantine keeps requests from engines whose prompts have a part that ends them. Every daemon has the evidence
-// of all. The first daemon by rendezvous hash of the part asks the others for successes, and then blocks the
-// part at all of them.
+// quarantine keeps requests from endpoints that end them: those whose prompts have a part that does, and those that
+// come again. Every daemon has the evidence of all. The first daemon by rendezvous hash of the part asks the others for
+// successes, and then blocks the part at all of them.
 type quarantine struct {
 	table      quarantiner.Table
 	ended      map[quarantiner.Process]namer.Seconds // when the process is known to have ended
@@ -27,6 +27,7 @@
 
 // suspicion is what speaks for and against a request in the quarantine.
 type suspicion struct {
+	parts        []quarantiner.Part // that may end an endpoint
 	dispatchedAt namer.Seconds
 	startedAt    namer.Seconds
 	cleared      bool // the current attempt has counted as a success
@@ -95,24 +96,26 @@
 	deciderDelay namer.Seconds = 0.5
 	// trialRetry is the retry delay while a trial is due.
 	trialRetry = 5 * time.Second
+	// heldRetry is the retry delay while a request that comes again is tried for the first time.
+	heldRetry = 300 * time.Millisecond
 )
 
-// sharedParts returns the parts of the prompt but the last, which is the request's own.
-func (q *request) sharedParts() []decider.Part {
-	return q.Parts[:max(0, len(q.Parts)-1)]
-}
-
-func (q *request) quarantineParts() []quarantiner.Part {
-	parts := make([]quarantiner.Part, 0, len(q.Parts))
-	for _, p := range q.sharedParts() {
-		parts = append(parts, quarantiner.Part(p.ID))
+// suspectParts returns the parts of the prompt but the last, which is the request's own, and the request as a whole.
+func suspectParts(r *decider.Request) []quarantiner.Part {
+	shared := r.Parts[:min(max(0, len(r.Parts)-1), maxSuspectParts-1)]
+	parts := make([]quarantiner.Part, 0, len(shared)+1)
+	for _, p := range shared {
+		parts = append(parts, quarantiner.PromptPart(p.ID))
+	}
+	if r.Fingerprint != 0 {
+		parts = append(parts, quarantiner.WholeRequest(uint64(r.Fingerprint)))
 	}
-	return parts[:min(len(parts), maxSuspectParts)]
+	return parts
 }
 
 // suspect reports whether the request may end its engine: it has not generated for long enough.
 func (q *request) suspect(now namer.Seconds) bool {
-	return q.stage == running && len(q.Parts) > 1 && !q.suspicion.cleared && (!q.started || now-q.suspicion.startedAt <= q.suspectTime())
+	return q.stage == running && len(q.suspicion.parts) > 0 && !q.suspicion.cleared && (!q.started || now-q.suspicion.startedAt <= q.suspectTime())
 }
 
 func (q *request) suspectTime() namer.Seconds {
@@ -125,22 +128,27 @@
 }
 
 func (q *request) asSuspect() quarantiner.Suspect {
-	own := quarantiner.Request(q.Parts[len(q.Parts)-1].ID)
-	return quarantiner.Suspect{Request: own, DispatchedAt: q.suspicion.dispatchedAt, Parts: q.quarantineParts()}
+	own := uint64(q.Fingerprint)
+	if n := len(q.Parts); n > 0 {
+		own = q.Parts[n-1].ID
+	}
+	return quarantiner.Suspect{Request: quarantiner.Request(own), DispatchedAt: q.suspicion.dispatchedAt, Parts: q.suspicion.parts}
 }
 
 // isBlocked reports whether the request has a blocked part.
 func (c *Core) isBlocked(now namer.Seconds, q *request) bool {
-	if !c.quarantine.table.Blocking() {
+	if !c.quarantine.table.Blocking() && !c.quarantine.table.Suspecting() {
 		return false
 	}
-	for _, p := range q.sharedParts() {
-		part := quarantiner.Part(p.ID)
-		if _, blocked := c.quarantine.table.Blocked(now, part); blocked && !(q.suspicion.trial && q.suspicion.part == part) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(q.suspicion.parts, func(part quarantiner.Part) bool {
+		_, blocked := c.quarantine.table.Blocked(now, part)
+		return (blocked || c.quarantine.table.Undecided(now, part)) && !q.tries(part)
+	})
+}
+
+// tries reports whether the request is the trial of a part.
+func (q *request) tries(part quarantiner.Part) bool {
+	return q.suspicion.trial && q.suspicion.part == part
 }
 
 // refuseBlocked refuses a request with a blocked part, unless it is sent as the trial of that part. It reports
@@ -149,17 +157,25 @@
 	if !c.isBlocked(now, q) {
 		return false
 	}
-	for _, p := range q.sharedParts() {
-		part := quarantiner.Part(p.ID)
-		left, blocked := c.quarantine.table.Blocked(now, part)
-		if !blocked || (q.suspicion.trial && q.suspicion.part == part) || c.beginTrial(now, q, part) {
+	table := &c.quarantine.table
+	for _, part := range q.suspicion.parts {
+		left, blocked := table.Blocked(now, part)
+		undecided := table.Undecided(now, part)
+		if !(blocked || undecided) || q.tries(part) || (blocked && c.beginTrial(now, q, part)) {
 			continue
 		}
 		retryAfter := trialRetry
-		if left > 0 {
+		switch {
+		case left > 0:
 			retryAfter = left.Duration()
+		case part.Whole() && (undecided || table.Held(part)):
+			retryAfter = heldRetry
+		}
+		outcome := classifier.PromptBlocked
+		if part.Whole() {
+			outcome = classifier.RequestBlocked
 		}
-		c.refuse(now, q, classifier.PromptBlocked, retryAfter)
+		c.refuse(now, q, outcome, retryAfter)
 		return true
 	}
 	return false
@@ -171,6 +187,8 @@
 		return false
 	}
 	q.suspicion.trial, q.suspicion.part = true, part
+	c.quarantine.outbox.add(notice{trial: &part})
+	c.sendNotices(now)
 	return true
 }
 
@@ -195,14 +213,14 @@
 // recordGenerating handles the first event of a response.
 func (c *Core) recordGenerating(now namer.Seconds, q *request) {
 	q.suspicion.startedAt = now
-	if len(q.Parts) > 1 {
+	if len(q.suspicion.parts) > 0 {
 		c.quarantine.generating = append(c.quarantine.generating, startedAttempt{q, q.attempt})
 	}
 }
 
 // recordFinished handles the end of a response.
 func (c *Core) recordFinished(now namer.Seconds, q *request) {
-	if !q.suspicion.cleared && len(q.Parts) > 1 {
+	if !q.suspicion.cleared && len(q.suspicion.parts) > 0 {
 		c.quarantine.finished = append(c.quarantine.finished, finishedAttempt{q.endpoint, now, q.asSuspect()})
 	}
 }
@@ -218,7 +236,7 @@
 			return false
 		}
 		q.suspicion.cleared = true
-		c.recordPromptSuccess(now, q.Service, q.quarantineParts())
+		c.recordPromptSuccess(now, q.Service, q.suspicion.parts)
 		return true
 	})
 	survived := 0
@@ -257,11 +275,12 @@
 		return false
 	}
 	if q.suspicion.trial {
-		c.announceBlock(now, c.quarantine.table.Block(now, q.suspicion.part))
+		took := now - q.suspicion.dispatchedAt
+		c.announceBlock(now, c.quarantine.table.FailTrial(now, q.suspicion.part, took, len(q.pool.endpoints)))
 		return true
 	}
 	q.suspicion.endings++
-	return q.suspicion.endings > 1 || c.quarantine.table.Implicated(process, q.quarantineParts())
+	return q.suspicion.endings > 1 || c.quarantine.table.Implicated(process, q.suspicion.parts)
 }
 
 // recordLost remembers a failed attempt, in case that its engine turns out to have ended.
@@ -332,7 +351,7 @@
 func (c *Core) unsuspected(now namer.Seconds, e *endpoint) int {
 	n := 0
 	for _, q := range c.requests {
-		if q.endpoint == e && q.stage == running && len(q.Parts) > 1 && !q.suspicion.cleared && !q.suspect(now) {
+		if q.endpoint == e && q.stage == running && len(q.suspicion.parts) > 0 && !q.suspicion.cleared && !q.suspect(now) {
 			n++
 		}
 	}
@@ -423,9 +442,17 @@
 }
 
 func (c *Core) reportPart(report decider.Report, part quarantiner.Part, endings []quarantiner.Process, length namer.Seconds) {
-	action := decider.Action{Kind: decider.ActionReport, Report: report, Part: uint64(part), ReportDuration: length.Duration()}
+	if part.Whole() {
+		report = requestReports[report]
+	}
+	action := decider.Action{Kind: decider.ActionReport, Report: report, Part: part.ID(), ReportDuration: length.Duration()}
 	for _, p := range endings {
 		action.Ended = append(action.Ended, p.Endpoint)
 	}
 	c.actions = append(c.actions, action)
 }
+
+// requestReports are the reports about whole requests.
+var requestReports = map[decider.Report]decider.Report{
+	decider.PromptPartSuspected: decider.RequestSuspected, decider.PromptPartBlocked: decider.RequestBlocked, decider.PromptPartCleared: decider.RequestCleared,
+}
--- a/placer/quarantine_test.go
+++ b/placer/quarantine_test.go
@@ -27,6 +27,9 @@
 
 // crashes reports whether engines end as they generate a response to the request.
 func (f *fleet) crashes(r *trackedRequest) bool {
+	if f.crashingRequest != 0 && r.request.Fingerprint == f.crashingRequest {
+		return true
+	}
 	return f.crashingPart != 0 && slices.ContainsFunc(r.request.Parts, func(p decider.Part) bool { return p.ID == f.crashingPart })
 }
 
--- a/quarantiner/block.go
+++ b/quarantiner/block.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 
@@ -35,6 +36,9 @@
 	until  namer.Seconds
 	level  int
 	trying bool // a request with the part is on its way
+	failed int  // trials at level 0
+	// triedUntil is the time until which another daemon's trial is awaited.
+	triedUntil namer.Seconds
 }
 
 const (
@@ -66,6 +70,44 @@
 // BlockBriefly blocks a part until a trial.
 func (t *Table) BlockBriefly(now namer.Seconds, part Part) Block { return t.blockAt(now, part, 0) }
 
+// length returns the length of a block. A request that comes again is tried at once, alone.
+func (p Part) length(level int) namer.Seconds {
+	if p.Whole() && level == 0 {
+		return 0
+	}
+	return blockLength(level)
+}
+
+// FailTrial blocks a part under whose trial an endpoint has ended, after a time. On a day on which endpoints of the
+// service end for other reasons, a request that comes again is tried once more until its trials prove something.
+func (t *Table) FailTrial(now namer.Seconds, part Part, took namer.Seconds, endpoints int) Block {
+	r := t.record(now, part)
+	if !part.Whole() || r.block == nil || r.block.level > 0 {
+		return t.Block(now, part)
+	}
+	failed := r.block.failed + 1
+	chance := float64(took) * t.otherEndings(now, r) / float64(max(1, endpoints))
+	if math.Pow(chance, float64(failed)) <= significance {
+		return t.Block(now, part)
+	}
+	t.setBlock(now, r, block{since: now, until: now, failed: failed})
+	return r.export()
+}
+
+// otherEndings returns the rate at which endpoints of the part's service have ended without it, per second.
+func (t *Table) otherEndings(now namer.Seconds, r *record) float64 {
+	n := 0
+	for _, e := range t.ended {
+		if e.service == r.service && now-e.at <= otherEndingsTime && !slices.Contains(r.present, e.process) {
+			n++
+		}
+	}
+	return float64(n) / float64(otherEndingsTime)
+}
+
+// otherEndingsTime is the time over which the rate of other endings is taken.
+const otherEndingsTime namer.Seconds = 30
+
 // Block blocks a part that is due, or whose trial has failed.
 func (t *Table) Block(now namer.Seconds, part Part) Block {
 	level := 1
@@ -77,7 +119,7 @@
 
 func (t *Table) blockAt(now namer.Seconds, part Part, level int) Block {
 	r := t.record(now, part)
-	t.setBlock(now, r, block{since: now, until: now + blockLength(level), level: level})
+	t.setBlock(now, r, block{since: now, until: now + part.length(level), level: level})
 	return r.export()
 }
 
@@ -141,16 +183,32 @@
 // length and the delay for the daemon's rank. The trial ends with a success, Block or EndTrial.
 func (t *Table) BeginTrial(now namer.Seconds, part Part, rank int) bool {
 	r := t.records[part]
-	if r == nil || r.block == nil || r.block.trying {
+	if r == nil || r.block == nil || r.block.trying || now < r.block.triedUntil {
 		return false
 	}
-	if now < r.block.until+namer.Seconds(rank)*min(trialDelay, blockLength(r.block.level)/2) {
+	if now < r.block.until+namer.Seconds(rank)*min(trialDelay, part.length(r.block.level)/2) {
 		return false
 	}
 	r.block.trying = true
 	return true
 }
 
+// trialTTL is the time in which the trial of another daemon has a result, unless it is lost.
+const trialTTL namer.Seconds = 2
+
+// AwaitTrial records that another daemon tries a blocked part.
+func (t *Table) AwaitTrial(now namer.Seconds, part Part) {
+	if r := t.records[part]; r != nil && r.block != nil {
+		r.block.triedUntil = now + trialTTL
+	}
+}
+
+// Held reports whether a part is blocked only until its first trial.
+func (t *Table) Held(part Part) bool {
+	r := t.records[part]
+	return r != nil && r.block != nil && r.block.level == 0
+}
+
 // EndTrial ends a trial that had no result.
 func (t *Table) EndTrial(part Part) {
 	if r := t.records[part]; r != nil && r.block != nil {
@@ -193,6 +251,6 @@
 		return false
 	}
 	level := min(max(b.Level, 0), MaxLevel)
-	t.setBlock(now, r, block{since: b.Since, until: min(b.Until, now+blockLength(level)), level: level})
+	t.setBlock(now, r, block{since: b.Since, until: min(b.Until, now+b.Part.length(level)), level: level})
 	return true
 }
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -1,9 +1,11 @@
-// Package quarantiner finds the part of prompts under which engines end as soon as they generate a response,
-// and keeps the list of blocked parts. It does no I/O and reads no clock: times are passed in. A Table is owned
-// by one goroutine.
+// Package quarantiner finds the work under which endpoints end, and keeps the list of what is blocked: a part of
+// prompts under which engines end as soon as they generate a response, or a request under which any endpoint ends. It
+// does no I/O and reads no clock: times are passed in. A Table is owned by one goroutine.
 //
-// All parts of a request are suspects when its engine ends. A part is told from the others by the endings that
-// it was present at, of several engines and under different requests, without a success in between.
+// All parts of a request are suspects when its endpoint ends. A part is told from the others by the endings that
+// it was present at, of several endpoints and under different requests, without a success in between. A request that
+// comes again is a part of its own, which no other request has; two endings are enough to hold it back until one
+// repetition has been tried alone.
 package quarantiner
 
 import (
@@ -14,9 +16,24 @@
 	"apricotspool/namer"
 )
 
-// Part identifies a part of prompts.
+// Part identifies a part of prompts, or a whole request.
 type Part uint64
 
+// wholeBit tells whole requests from prompt parts, whose IDs callers choose.
+const wholeBit Part = 1 << 63
+
+// PromptPart returns the part with the given ID in prompts.
+func PromptPart(id uint64) Part { return Part(id) &^ wholeBit }
+
+// WholeRequest returns the part that all repetitions of a request have, and no other request.
+func WholeRequest(fingerprint uint64) Part { return Part(fingerprint) | wholeBit }
+
+// ID returns the ID in prompts, or the fingerprint.
+func (p Part) ID() uint64 { return uint64(p &^ wholeBit) }
+
+// Whole reports whether the part is a whole request.
+func (p Part) Whole() bool { return p&wholeBit != 0 }
+
 // Request identifies a request by its own part of the prompt, so that its repetitions are the same request.
 type Request uint64
 
@@ -50,6 +67,10 @@
 	// block a part. One request that is repeated may end engines by what it shares with no other.
 	minEndings  = 3
 	minRequests = 2
+	// minRepeats is the number of counted endings that hold back a request which comes again.
+	minRepeats = 2
+	// undecidedTime is the time after an ending in which such a request waits for the verdict.
+	undecidedTime namer.Seconds = 1
 	// maxCounted and maxPresent limit the endings that are kept of a part.
 	maxCounted = 16
 	maxPresent = 32
@@ -60,6 +81,9 @@
 	// settleTime is the time in which engines that fail together are noticed, and in which all daemons have
 	// reported one ending.
 	settleTime namer.Seconds = 0.1
+	// noticeTime is the time that the notice of an ending takes to other daemons. A request that has ended an endpoint may
+	// reach another daemon before it.
+	noticeTime namer.Seconds = 0.01
 	// dueTime is the time after an ending in which a part can be blocked. Later, the successes of other requests
 	// say little about the time of the endings.
 	dueTime namer.Seconds = 10
@@ -218,8 +242,11 @@
 		r.carriers = append(r.carriers, s.Request)
 	}
 	if n := len(r.endings); n > 0 {
-		last := r.endings[n-1].at
-		if s.DispatchedAt <= last+settleTime {
+		settled := settleTime
+		if r.part.Whole() {
+			settled = -noticeTime
+		}
+		if s.DispatchedAt <= r.endings[n-1].at+settled {
 			return false
 		}
 	}
@@ -244,6 +271,9 @@
 
 // suspicious reports whether a part has enough endings to be looked at.
 func (r *record) suspicious() bool {
+	if r.part.Whole() {
+		return len(r.endings) >= minRepeats
+	}
 	return len(r.endings) >= minEndings && r.requests() >= minRequests
 }
 
@@ -364,14 +394,14 @@
 }
 
 // Due returns the parts that are suspected enough to be blocked, unless a blocked part or an earlier one in the list
-// was present at all their endings. Those with more endings go first, and then the deepest in the prompt, which
-// the fewest requests share.
+// was present at all their endings. Whole requests go first, since each explains only its own endings, then those with
+// more endings, and then the deepest in the prompt, which the fewest requests share.
 func (t *Table) Due(now namer.Seconds) []Part {
 	var due []*record
 	for part, r := range t.candidates {
 		if r.block != nil || !r.suspicious() {
 			delete(t.candidates, part)
-		} else if last := r.endings[len(r.endings)-1].at; now >= last+settleTime && now < last+dueTime {
+		} else if last := r.endings[len(r.endings)-1].at; (part.Whole() || now >= last+settleTime) && now < last+dueTime {
 			due = append(due, r)
 		}
 	}
@@ -379,7 +409,7 @@
 		return nil
 	}
 	slices.SortFunc(due, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(len(b.endings), len(a.endings)), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
+		return cmp.Or(compareWhole(a, b), cmp.Compare(len(b.endings), len(a.endings)), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
 	})
 	var blocked, chosen []*record
 	for _, r := range t.records {
@@ -389,9 +419,9 @@
 	}
 	var parts []Part
 	for _, r := range due {
-		if slices.ContainsFunc(blocked, r.explainedBy) {
+		if !r.part.Whole() && slices.ContainsFunc(blocked, r.explainedBy) {
 			delete(t.candidates, r.part) // until its next ending
-		} else if !slices.ContainsFunc(chosen, r.explainedBy) {
+		} else if r.part.Whole() || !slices.ContainsFunc(chosen, r.explainedBy) {
 			chosen = append(chosen, r)
 			parts = append(parts, r.part)
 		}
@@ -399,6 +429,26 @@
 	return parts
 }
 
+// compareWhole orders whole requests before prompt parts.
+func compareWhole(a, b *record) int {
+	switch {
+	case a.part.Whole() == b.part.Whole():
+		return 0
+	case a.part.Whole():
+		return -1
+	}
+	return 1
+}
+
+// Suspecting reports whether any part may be undecided.
+func (t *Table) Suspecting() bool { return len(t.candidates) > 0 }
+
+// Undecided reports whether a request that comes again waits for the verdict on its endings.
+func (t *Table) Undecided(now namer.Seconds, part Part) bool {
+	r := t.records[part]
+	return r != nil && part.Whole() && r.block == nil && r.suspicious() && now < r.endings[len(r.endings)-1].at+undecidedTime
+}
+
 // explainedBy reports whether another part was present at all endings of a part.
 func (r *record) explainedBy(other *record) bool {
 	for _, p := range r.present {
--- a/quarantiner/tally.go
+++ b/quarantiner/tally.go
@@ -123,6 +123,8 @@
 	}
 	byChance := math.Pow(chance, float64(len(r.endings)))
 	switch {
+	case part.Whole() && r.suspicious():
+		return Probable // a trial costs less than what more endings would prove
 	case float64(alike)*byChance*t.coverage(r) <= significance:
 		return Proven
 	case byChance <= outageChance && t.coincidences(r) <= weakSignificance:
