quarantiner: Take the rate of other endings over the time since the first

Cause: the rate of other endings was taken over 30 s when there had been 2 s of them, so that failed trials seemed to prove more than they do.

Change: the time since the first ending that is known, 5 to 30 s.

--- a/placer/repeat_test.go
+++ b/placer/repeat_test.go
@@ -107,7 +107,7 @@
 					for len(f.ends) == 0 {
 						f.run(f.now + 10*time.Millisecond)
 					}
-					f.hosts[seed].down = true
+					f.hosts[seed%9].down = true
 				}
 				f.run(20 * time.Second)
 				is.True(len(f.ends) >= 3)
--- a/quarantiner/block.go
+++ b/quarantiner/block.go
@@ -96,17 +96,20 @@
 
 // otherEndings returns the rate at which endpoints of the part's service have ended without it, per second.
 func (t *Table) otherEndings(now namer.Seconds, r *record) float64 {
-	n := 0
+	n, oldest := 0, now-minRateTime
 	for _, e := range t.ended {
-		if e.service == r.service && now-e.at <= otherEndingsTime && !slices.Contains(r.present, e.process) {
-			n++
+		if e.service == r.service && now-e.at <= maxRateTime && !slices.Contains(r.present, e.process) {
+			n, oldest = n+1, min(oldest, e.at)
 		}
 	}
-	return float64(n) / float64(otherEndingsTime)
+	return float64(n) / float64(now-oldest)
 }
 
-// otherEndingsTime is the time over which the rate of other endings is taken.
-const otherEndingsTime namer.Seconds = 30
+// The rate of other endings is taken over the time since the first one, within these bounds.
+const (
+	minRateTime namer.Seconds = 5
+	maxRateTime namer.Seconds = 30
+)
 
 // Block blocks a part that is due, or whose trial has failed.
 func (t *Table) Block(now namer.Seconds, part Part) Block {
