placer: Test the trial of a request that is held back, and its clearing

Each fails without its line, which no test did before: the notice of a trial, the notice of a success that only another daemon has seen, a hold that ends at once, a request that its neighbour doesn't explain. quarantiner TestNeighbourDoesNotExplainRequest, TestHeldRequestIsTriedAlone; placer TestOneDaemonTriesHeldRequest, TestSuccessElsewhereFreesRequest. No code changed.

--- a/placer/repeat_test.go
+++ b/placer/repeat_test.go
@@ -216,3 +216,51 @@
 		})
 	}
 }
+
+// endUnder ends the endpoint of a request's attempt, which its daemon notices.
+func (f *fleet) endUnder(r *trackedRequest) {
+	f.observe(r, decider.Event{Kind: decider.EventFailed, Attempt: r.attempt, Endpoint: r.endpoint, Reason: classifier.RetryStreamBroken, Ended: true})
+}
+
+// Guards against two daemons that try a request at the same time.
+func TestOneDaemonTriesHeldRequest(t *testing.T) {
+	is := is.New(t)
+	f := newPlainFleet(t, 3, 6)
+	k := call
+	k.fingerprint, k.attempts = crashingRequest, 1
+	for range 2 {
+		f.endUnder(f.arrive(f.hosts[0], k))
+		f.run(f.now + 20*time.Millisecond)
+	}
+	f.run(f.now + 300*time.Millisecond)
+	is.Equal(f.reported(decider.RequestBlocked)[uint64(crashingRequest)], 3)
+	trial := f.arrive(f.hosts[1], k)
+	f.run(f.now + 2*networkDelay)
+	is.Equal(trial.outcome, classifier.Outcome(""))
+	for _, h := range f.hosts {
+		is.Equal(f.arrive(h, k).outcome, classifier.RequestBlocked)
+	}
+	f.endUnder(trial)
+	f.run(f.now + 2*networkDelay)
+	for _, h := range f.hosts {
+		is.True(f.arrive(h, k).retryAfter > 30*time.Second)
+	}
+}
+
+// Guards against daemons that hold back a request whose success only one of them has seen.
+func TestSuccessElsewhereFreesRequest(t *testing.T) {
+	is := is.New(t)
+	f := newPlainFleet(t, 6, 6)
+	k := call
+	k.fingerprint, k.attempts = crashingRequest, 1
+	f.endUnder(f.arrive(f.hosts[0], k))
+	f.run(f.now + 20*time.Millisecond)
+	sound := f.arrive(f.hosts[1], k)
+	f.run(f.now + 400*time.Millisecond) // its endpoint lives on
+	is.Equal(sound.outcome, classifier.Served)
+	f.endUnder(f.arrive(f.hosts[2], k))
+	f.run(f.now + 200*time.Millisecond) // the first in rank has asked
+	for _, h := range f.hosts {
+		is.Equal(f.arrive(h, k).outcome, classifier.Outcome(""))
+	}
+}
--- a/quarantiner/repeat_test.go
+++ b/quarantiner/repeat_test.go
@@ -65,7 +65,9 @@
 func TestHeldRequestIsTriedAlone(t *testing.T) {
 	is := is.New(t)
 	table, other := tableWith(0.02, 10, 10.1), tableWith(0.02, 10, 10.1)
-	is.True(other.Merge(10.2, table.BlockBriefly(10.2, whole)))
+	held := table.BlockBriefly(10.2, whole)
+	is.Equal(held.Until, namer.Seconds(10.2))
+	is.True(other.Merge(10.2, held))
 	is.True(table.Held(whole))
 	is.True(other.Held(whole))
 	is.True(other.BeginTrial(10.2, whole, 8)) // at once, whatever the rank
@@ -97,3 +99,19 @@
 	is.Equal(table.FailTrial(41.5, whole, 0.3, 5).Level, 0)
 	is.Equal(table.FailTrial(42, whole, 0.3, 5).Level, 1)
 }
+
+// Guards against a request that stays in use because a sound one, which was running beside it, is held back first.
+func TestNeighbourDoesNotExplainRequest(t *testing.T) {
+	is := is.New(t)
+	neighbour := quarantiner.WholeRequest(4)
+	var table quarantiner.Table
+	for i, now := range []namer.Seconds{10, 10.1} {
+		e := ending(now, i, 9, whole)
+		e.Suspects[0].DispatchedAt = now - 0.02
+		e.Suspects = append(e.Suspects, quarantiner.Suspect{Request: 4, DispatchedAt: now - 0.02, Parts: []quarantiner.Part{neighbour}})
+		table.RecordEnding(now, e)
+	}
+	is.Equal(len(table.Due(10.2)), 2)
+	table.BlockBriefly(10.2, neighbour)
+	is.Equal(table.Due(10.2), []quarantiner.Part{whole})
+}
