assembler: Give gateways under test ports that no connection can take

Cause, traced by a scratch test that starts three gateways 240 times in six parallel rows with traffic beside and prints the error of those that end: 'health listener: listen tcp 127.0.0.1:42449: bind: address already in use'. The fixture chose a port by listening on it and closing it; before the gateway listened, a connection of a test that ran beside had taken it. The product isn't concerned.

Change: ports from 20000 to 31999, below those of outgoing connections, each given once. The checks are the same.

--- a/assembler/gateway_test.go
+++ b/assembler/gateway_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -51,12 +52,36 @@
 	return listener
 }
 
-// freeAddress returns an address that nothing listens on.
+// Ports below those that the kernel gives to outgoing connections, which could take one between its choice and its use.
+const (
+	firstPort = 20_000
+	ports     = 12_000
+)
+
+// lastPort counts the ports that have been tried. Each process of tests begins elsewhere.
+var lastPort atomic.Uint32
+
+func init() { lastPort.Store(uint32(os.Getpid()) * 97) }
+
+// freeAddress returns an address that nothing uses, for TCP and UDP, and that no other call returns.
 func freeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	listener := listenTCP(t)
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	for range ports {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+lastPort.Add(1)%ports))
+		listener, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		datagrams, err := net.ListenPacket("udp4", address.String())
+		if err != nil {
+			continue
+		}
+		datagrams.Close()
+		return address
+	}
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 // route is one route of the configuration.
@@ -102,12 +127,9 @@
 }
 
 func (s *site) newSettings(name string) *loader.GatewaySettings {
-	datagrams, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	is.New(s.t).NoErr(err)
-	defer datagrams.Close()
 	return &loader.GatewaySettings{
 		Host: namer.Host(name), DataCentre: "a", Callers: freeAddress(s.t), Health: freeAddress(s.t), Peers: freeAddress(s.t),
-		Datagrams: netip.MustParseAddrPort(datagrams.LocalAddr().String()), ObjectAPI: s.address,
+		Datagrams: freeAddress(s.t), ObjectAPI: s.address,
 		Drain:   loader.Drain{Notice: namer.Duration(300 * time.Millisecond), Limit: namer.Duration(4 * time.Second)},
 		Retries: loader.RetryBudget{Ratio: 0.2, Slack: 50, Window: namer.Duration(10 * time.Second)},
 	}
