relayer: Wait for the core in the tests of stated limits

Beside twelve busy loops 8 of 60 rounds of these tests failed.

Cause: the test read the core's events as soon as the caller had its response; the core's goroutine observes them later. The product isn't concerned.

Change: the test waits for the result of the attempt, which comes after the limit. The checks are the same, and fail without the report (tried).

After: none of 120 rounds with -race beside twelve busy loops.

--- a/relayer/limit_test.go
+++ b/relayer/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,17 +13,17 @@
 	"apricotspool/namer"
 )
 
-// limits returns the reported limits.
+// limits waits for the result of the first attempt and returns the limits that have been reported. Those of its response
+// come before its result.
 func (s *scriptedCore) limits() []decider.Event {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var found []decider.Event
-	for _, e := range s.events {
-		if e.Kind == decider.EventLimit {
-			found = append(found, e)
+	results := []decider.EventKind{decider.EventFinished, decider.EventFailed, decider.EventPrefilled}
+	for n := 1; ; n++ {
+		events := s.waitEvents(n)
+		if !slices.ContainsFunc(events, func(e decider.Event) bool { return slices.Contains(results, e.Kind) }) {
+			continue
 		}
+		return slices.DeleteFunc(events, func(e decider.Event) bool { return e.Kind != decider.EventLimit })
 	}
-	return found
 }
 
 // Guards against rate limits that the core doesn't learn of, whatever kind of response states them.
