--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -30,6 +30,7 @@
 	handles                  map[string]string // request by handle
 	lastHandle               int
 	runs                     map[string][]time.Time // when it began to run a request
+	arrivals                 map[string][]time.Time // when a request came
 	running, most            int
 	onRun                    func(w http.ResponseWriter, r *http.Request, body []byte) bool // takes the run over if it returns true
 	answerHeader             func(h http.Header)
@@ -45,7 +46,7 @@
 	s.address = listener.Addr().String()
 	s.born = time.Now().UnixMilli()
 	s.places, s.waiting = make(chan struct{}, s.slots), make(chan struct{}, s.slots+s.queue)
-	s.handles, s.runs = map[string]string{}, map[string][]time.Time{}
+	s.handles, s.runs, s.arrivals = map[string]string{}, map[string][]time.Time{}, map[string][]time.Time{}
 	s.http = &http.Server{Handler: s}
 	go s.http.Serve(listener)
 	w.mu.Lock()
@@ -108,6 +109,9 @@
 	case id == "":
 		s.reject(w, http.StatusBadRequest)
 	default:
+		s.mu.Lock()
+		s.arrivals[id] = append(s.arrivals[id], time.Now())
+		s.mu.Unlock()
 		s.serve(w, r, id, body)
 	}
 }
