dispatcher: Detect a decision core that doesn't finish a step

Callers of review/1 and review/2 got 504 and 503 for everything from a gateway that said it was ready: its one decision goroutine never returned, and nothing in the process noticed.

A detector counts the intervals that pass within one step of the control goroutine. It counts intervals and not time, so that a process that was suspended is not taken for one that hangs.

This finds the fault and doesn't mend it.

--- a/assembler/components.go
+++ b/assembler/components.go
@@ -141,7 +141,7 @@
 // connectTraffic builds the dispatcher, which owns the decision core, and the callers' API.
 func (d *Daemon) connectTraffic(c *components, keys [][]byte) {
 	c.core = &decider.Core{Seed: c.randomSeed()}
-	c.dispatcher = &dispatcher.Dispatcher{Core: c.core, Retries: c.metrics}
+	c.dispatcher = &dispatcher.Dispatcher{Core: c.core, Retries: c.metrics, Log: d.Log}
 	c.server = &server.Server{
 		Log: d.Log, Metrics: c.metrics, Snapshot: c.distributor.Snapshot,
 		Dispatcher: c.dispatcher, Engine: c.engine, Forwarder: &forwarder.Client{}, Signer: &resumer.Signer{Keys: keys},
--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -96,6 +96,12 @@
 	g.metrics.Gauge("apricotspool_log_lines_dropped", func() float64 { return float64(g.Log.Dropped()) })
 	g.metrics.Gauge("apricotspool_configuration_age_seconds", func() float64 { return g.config.Age().Seconds() })
 	g.metrics.Gauge("apricotspool_entries_age_seconds", func() float64 { return g.entries.Age().Seconds() })
+	g.metrics.Gauge("apricotspool_decisions_stalled", func() float64 {
+		if g.dispatcher.Stalled() {
+			return 1
+		}
+		return 0
+	})
 	store := g.Platform.OpenStore(g.Settings.ObjectAPI, "", objectAPICallCounter(g.metrics))
 	g.announcer = &announcer.Announcer{
 		Store: store, Reader: g.Platform.OpenStaleReader(g.Settings.ObjectAPI, objectAPICallCounter(g.metrics)), Log: g.Log.Events,
--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -126,7 +126,7 @@
 		g.metrics.Write(w)
 	case r.URL.Path != g.Platform.ReadinessPath:
 		w.WriteHeader(http.StatusNotFound)
-	case g.draining.Load() || !g.fleet.Ready():
+	case g.draining.Load() || !g.fleet.Ready() || g.dispatcher.Stalled():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -62,6 +62,7 @@
 	done    chan struct{}
 	once    sync.Once
 	tickets map[namer.StreamID]*Ticket // owned by Run
+	stall   stallDetector
 }
 
 // command is a command to the control goroutine. Exactly one field is set.
@@ -98,15 +99,20 @@
 	}
 	tick := time.NewTicker(period)
 	defer tick.Stop()
+	go d.watchStalls(ctx)
 	wasIdle := false
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case c := <-d.inbox:
+			d.stall.begin()
 			d.handleCommand(c)
+			d.stall.end()
 		case now := <-tick.C:
+			d.stall.begin()
 			d.perform(d.Core.Tick(now))
+			d.stall.end()
 		}
 		if idle := len(d.tickets) == 0; idle != wasIdle {
 			wasIdle = idle
--- a/server/server.go
+++ b/server/server.go
@@ -38,6 +38,8 @@
 // Dispatcher submits requests to the decision core.
 type Dispatcher interface {
 	Submit(ctx context.Context, r decider.Request) (*dispatcher.Ticket, error)
+	// Stalled reports whether requests wait for a core that doesn't finish a decision.
+	Stalled() bool
 }
 
 // Finder finds the engine that can resume a stream.
@@ -89,7 +91,7 @@
 }
 
 // Ready reports whether a load balancer should send requests to this daemon.
-func (s *Server) Ready() bool { return !s.draining.Load() && configured(s.Snapshot()) }
+func (s *Server) Ready() bool { return !s.draining.Load() && configured(s.Snapshot()) && !s.Dispatcher.Stalled() }
 
 // configured reports whether a configuration is active. Version 0 is the empty one of a new fleet.
 func configured(s *configurer.Snapshot) bool { return s != nil && s.Version() > 0 }
