placer: Bound the turns of a placement

A placement goes on in a loop, or by messages between two daemons, until an endpoint is found or none is left.

Each turn is counted now, also those by messages and by time-outs. After as many as a placement can need while each turn removes a possibility, the request is refused (placement-stalled, 503, not run; a response that has begun goes on at the engine with the shortest queue), and placement-stalled is logged as an error with the request's id. This is a check, not the fix: the places that make no progress follow.

TestPlacementEndsWithFaultyOwner: without the count the daemon asks an owner that always declines 20 times and more for a plain endpoint (rows 'at once' and 'in the past'); with it all rows end.

--- a/classifier/outcome.go
+++ b/classifier/outcome.go
@@ -44,6 +44,7 @@
 	PromptBlocked      Outcome = "prompt-blocked"
 	RequestBlocked     Outcome = "request-blocked"
 	EndpointsLimited   Outcome = "endpoints-limited"
+	PlacementStalled   Outcome = "placement-stalled"
 	StreamGone         Outcome = "stream-gone"
 	CallerDisconnected Outcome = "caller-gone"
 	Internal           Outcome = "internal"
@@ -79,6 +80,7 @@
 	PromptBlocked:      {http.StatusServiceUnavailable, NotRun, true, "Endpoints have ended under a part of the prompt; it is tried again after a while."},
 	RequestBlocked:     {http.StatusServiceUnavailable, NotRun, true, "Endpoints have ended under this request; it is tried again after a while."},
 	EndpointsLimited:   {http.StatusServiceUnavailable, NotRun, true, "The endpoints of the service have reached the request rates that they state."},
+	PlacementStalled:   {http.StatusServiceUnavailable, NotRun, true, "The daemon has found no endpoint in the number of steps that suffices; a fault of the daemon."},
 	StreamGone:         {http.StatusGone, Unknown, false, "No endpoint knows the stream any more."},
 	CallerDisconnected: {499, Unknown, false, "The caller closed the connection."},
 	Internal:           {http.StatusInternalServerError, Unknown, false, "The daemon failed."},
--- a/decider/event.go
+++ b/decider/event.go
@@ -236,6 +236,7 @@
 	EndpointUnlimited  Report = "endpoint-unlimited" // takes any number of requests again
 	DaemonUnresponsive Report = "daemon-silent"      // not asked for reservations for a while
 	DaemonResponsive   Report = "daemon-answers"     // answers reservation requests again
+	PlacementStalled   Report = "placement-stalled"  // a placement took more turns than it can need; the request is refused
 
 	PromptPartSuspected Report = "prompt-part-suspected" // several endpoints have ended under it, without a success
 	PromptPartBlocked   Report = "prompt-part-blocked"   // requests with it are refused for a while
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -199,13 +199,18 @@
 // logReport logs a report of the core about an endpoint, a daemon or a prompt part.
 func (d *Dispatcher) logReport(a decider.Action) {
 	event := d.Log.Info()
-	if a.Report == decider.PromptPartBlocked || a.Report == decider.RequestBlocked {
+	switch a.Report {
+	case decider.PromptPartBlocked, decider.RequestBlocked:
 		event = d.Log.Warn()
+	case decider.PlacementStalled:
+		event = d.Log.Error()
 	}
 	event.Dur("lasting-ms", a.ReportDuration)
 	switch {
 	case a.Report == decider.RequestSuspected || a.Report == decider.RequestBlocked || a.Report == decider.RequestCleared:
 		event.Str("fingerprint", strconv.FormatUint(a.Part, 16)).Int("endings", len(a.Ended)).Any("endpoints", a.Ended)
+	case a.Report == decider.PlacementStalled:
+		event.Str("stream", string(a.Request)).Int("declined", a.Basis.Declined).Int("usable", a.Basis.Usable).Bool("late", a.Basis.Late)
 	case a.Part != 0:
 		event.Str("part", strconv.FormatUint(a.Part, 16)).Int("endings", len(a.Ended)).Any("endpoints", a.Ended)
 	case a.Report == decider.EndpointLimited:
--- a/placer/core.go
+++ b/placer/core.go
@@ -76,7 +76,8 @@
 	backup           *endpoint // receives a copy of the current attempt's KV cache
 	reason           classifier.RetryReason
 	tried            []*endpoint // endpoints of failed attempts
-	declined         []*endpoint // endpoints whose ledger declined the reservation
+	declined         []*endpoint // endpoints whose ledger declined the reservation, in the current placement
+	turns            int         // of the current placement
 
 	// Set while a reservation request is pending.
 	pendingChoice *choice
--- a/placer/place.go
+++ b/placer/place.go
@@ -22,7 +22,7 @@
 		c.placePlain(now, q)
 		return
 	}
-	for {
+	for c.nextTurn(now, q) {
 		found := c.pick(now, q)
 		switch {
 		case found.endpoint == nil && found.overloaded:
@@ -82,7 +82,7 @@
 )
 
 func (c *Core) placePlain(now namer.Seconds, q *request) {
-	for {
+	for c.nextTurn(now, q) {
 		found := choice{endpoint: c.pickLeastLoaded(now, q)}
 		if found.endpoint == nil {
 			c.refuseUnlessBegun(now, q, classifier.NoEndpoint)
@@ -228,6 +228,7 @@
 	}
 	action.FinalAttempt = q.stage == running && q.backup == nil && c.isFinal(q)
 	c.actions = append(c.actions, action)
+	q.endPlacement()
 }
 
 // isFinal reports whether no further attempt can follow if the next one fails. A retry budget that is used up has
@@ -254,7 +255,7 @@
 	if c.refuseBlocked(now, q) {
 		return
 	}
-	for {
+	for c.nextTurn(now, q) {
 		found := choice{endpoint: c.pickDecodeEngine(now, q)}
 		if found.endpoint == nil {
 			c.refuseUnlessBegun(now, q, classifier.NoEndpoint)
@@ -288,6 +289,7 @@
 		Kind: decider.ActionDispatch, Request: q.ID, Attempt: q.attempt, Endpoint: e.view.Name, Priority: q.class(),
 		Basis: q.basis(now, choice{endpoint: e}), FinalAttempt: c.isFinal(q), Limited: e.limit.Limited(),
 	})
+	q.endPlacement()
 }
 
 // basis returns the estimates behind a choice. They include the load summary of the reservation response,
