placer: End the placement of long streams at full engines

Cause: a request with more output than prompt is placed by pickStream, which chose the same three engines again after all three had declined. Core.place then marks the request as late and asks once more for what the others leave, but pickStream knew nothing of late requests and set the mark back, so that the next refusal began everything again. With the ledgers of these engines at this daemon nothing in the loop waits; with the ledgers elsewhere it ran by messages until the deadline. One cause, two ways to it: full engines, and a prompt that no ledger can grant before its deadline.

Engines without a free slot are asked last: with four engines and three requests for reservations the fourth was never asked while it had slots.

--- a/placer/pick.go
+++ b/placer/pick.go
@@ -73,7 +73,7 @@
 // pick returns the engine with the earliest estimated first event. It is a decode engine, or a prefill engine
 // that only processes the prompt.
 func (c *Core) pick(now namer.Seconds, q *request) choice {
-	if q.decodeHeavy() && q.deliveredTokens == 0 {
+	if q.decodeHeavy() && q.deliveredTokens == 0 && !q.late {
 		if found := c.pickStream(now, q); found.endpoint != nil {
 			return found
 		}
@@ -194,8 +194,11 @@
 			continue
 		}
 		order := e.streamOrder
-		if float64(e.streams(now)) >= streamFillRatio*float64(e.view.Concurrency) {
-			order += len(q.pool.endpoints) // used only if all are full
+		switch {
+		case e.activeRequests(now) >= e.view.Concurrency:
+			order += 2 * len(q.pool.endpoints) // will probably decline
+		case float64(e.streams(now)) >= streamFillRatio*float64(e.view.Concurrency):
+			order += len(q.pool.endpoints) // used only if all are filled
 		}
 		if order < least {
 			first, least = e, order
--- a/placer/place.go
+++ b/placer/place.go
@@ -39,7 +39,7 @@
 			q.late, q.declined = true, nil
 			continue
 		}
-		q.late = found.late
+		q.late = q.late || found.late
 		owner := c.ledgerOwner(now, found.endpoint)
 		if !c.takeShare(now, q, &found, owner) {
 			continue
