placer: Don't ask again for a permit that the owner has declined

The owner of an endpoint's rate limit declines a request for a permit without a wait if it knows the endpoint to be leaving, and another daemon may not know it (Server-Leaving is what one daemon has read). requestPermit, the answer and placeAgain then went on by messages until the request's deadline: placePlain and dispatchDecode didn't leave out endpoints that had declined.

Fix: both leave them out, as pick does; the request takes another endpoint or is refused at once.

--- a/placer/pick.go
+++ b/placer/pick.go
@@ -25,7 +25,7 @@
 func (c *Core) pickLeastLoaded(now namer.Seconds, q *request) *endpoint {
 	var least lowestScore
 	for _, e := range q.pool.endpoints {
-		if c.open(now, q, e) && !q.hasTried(e) {
+		if c.open(now, q, e) && !q.hasTried(e) && !contains(q.declined, e) {
 			least.consider(e, namer.Seconds(float64(e.running)+0.5*c.random.Float64()))
 		}
 	}
@@ -217,7 +217,7 @@
 	preferred := q.pool.prefixAffinity(now, q).decode[0]
 	var least lowestScore
 	for _, e := range q.pool.endpoints {
-		if e.view.Role == namer.RolePrefill || !c.open(now, q, e) || q.hasTried(e) {
+		if e.view.Role == namer.RolePrefill || !c.open(now, q, e) || q.hasTried(e) || contains(q.declined, e) {
 			continue
 		}
 		score := namer.Seconds(float64(e.activeRequests(now))/float64(max(1, e.view.Concurrency)) + 0.05*c.random.Float64())
--- a/placer/progress_test.go
+++ b/placer/progress_test.go
@@ -80,6 +80,47 @@
 	}
 }
 
+// Guards against two daemons that ask each other without end for an endpoint that only one of them knows to be leaving:
+// a plain one, and an engine for a prompt that has been processed elsewhere.
+func TestPermitDeclinedByOwnerIsNotAskedForAgain(t *testing.T) {
+	for _, plain := range []bool{true, false} {
+		t.Run(fmt.Sprintf("plain %v", plain), func(t *testing.T) {
+			is := is.New(t)
+			prefillEngines := 1
+			if plain {
+				prefillEngines = 0
+			}
+			f := newFleet(t, 2, prefillEngines, 1)
+			f.view.Services[0].Plain = plain
+			for i := range f.view.Members { // the second daemon owns everything
+				f.view.Members[i].DataCentre = namer.DataCentre([]string{"b", "a"}[i])
+			}
+			f.configure()
+			limited := f.names[prefillEngines]
+			f.limitAll(1000, limited)
+			k := plainCall
+			if !plain {
+				k = longPrompt
+			}
+			f.arrive(f.hosts[0], k) // both daemons learn of the limit
+			f.run(f.now + time.Second)
+			f.perform(f.hosts[1], f.hosts[1].core.Observe(f.time(), decider.Event{Kind: decider.EventLeaving, Endpoint: limited}))
+			asked := 0
+			f.inspect = func(_ namer.Host, m placer.Message) {
+				if m.ReserveRequest != nil {
+					asked++
+				}
+			}
+			r := f.arrive(f.hosts[0], k)
+			f.run(f.now + time.Second)
+			t.Logf("asked %d times; outcome %q", asked, r.outcome)
+			is.Equal(len(f.stalls()), 0)
+			is.True(asked <= 4)
+			is.Equal(r.outcome, classifier.NoEndpoint)
+		})
+	}
+}
+
 // randomFleet returns a fleet with few slots and little memory, in which all ledgers, some or none belong to the first
 // daemon, some messages are lost, and some endpoints state a rate limit.
 func randomFleet(t testing.TB, random *rand.Rand) *fleet {
@@ -127,7 +168,11 @@
 
 // Guards against placements without an end, in a loop or by messages, whatever the fleet and the requests.
 func TestPlacementsEndInRandomFleets(t *testing.T) {
+	seeds := []uint64{682, 1456} // two daemons that disagree on an endpoint with a rate limit
 	for seed := range uint64(*fleets) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		random := rand.New(rand.NewPCG(seed, 32))
 		f := randomFleet(t, random)
 		asked, decided := 0, 0
