placer: Refuse prompts that no engine has the memory for

A prompt larger than the memory of each engine of its service can never run, and was known to be so only when ledgers had declined it, by their estimate of its processing time; with a patient caller it was sent to an engine, which rejects it as if it were full.

It is refused on arrival now, without a message: prompt-too-long, 503 (not run), with Retry-After of a minute, since only a change of the fleet helps. Not 413: the request is proper, and the platform rejects it as it does at full engines. Only the prompt counts, as the output may be shorter than what is asked for; engines of unknown memory take anything.

--- a/classifier/outcome.go
+++ b/classifier/outcome.go
@@ -45,6 +45,7 @@
 	RequestBlocked     Outcome = "request-blocked"
 	EndpointsLimited   Outcome = "endpoints-limited"
 	PlacementStalled   Outcome = "placement-stalled"
+	PromptTooLong      Outcome = "prompt-too-long"
 	StreamGone         Outcome = "stream-gone"
 	CallerDisconnected Outcome = "caller-gone"
 	Internal           Outcome = "internal"
@@ -81,6 +82,7 @@
 	RequestBlocked:     {http.StatusServiceUnavailable, NotRun, true, "Endpoints have ended under this request; it is tried again after a while."},
 	EndpointsLimited:   {http.StatusServiceUnavailable, NotRun, true, "The endpoints of the service have reached the request rates that they state."},
 	PlacementStalled:   {http.StatusServiceUnavailable, NotRun, true, "The daemon has found no endpoint in the number of steps that suffices; a fault of the daemon."},
+	PromptTooLong:      {http.StatusServiceUnavailable, NotRun, true, "The prompt is larger than the memory of each endpoint of the service; it is not worth asking again soon."},
 	StreamGone:         {http.StatusGone, Unknown, false, "No endpoint knows the stream any more."},
 	CallerDisconnected: {499, Unknown, false, "The caller closed the connection."},
 	Internal:           {http.StatusInternalServerError, Unknown, false, "The daemon failed."},
--- a/placer/core.go
+++ b/placer/core.go
@@ -203,6 +203,9 @@
 	noEndpointRetry = 300 * time.Millisecond
 	// busyRetry is the shortest retry delay when the endpoints are overloaded.
 	busyRetry = 300 * time.Millisecond
+	// promptTooLongRetry is the retry delay when no endpoint of the service has the memory for a prompt. Only a
+	// change of the fleet helps.
+	promptTooLongRetry = time.Minute
 	// refusedRetry is the retry delay when the last permitted attempt has failed.
 	refusedRetry = 200 * time.Millisecond
 )
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"apricotspool/decider"
 	"apricotspool/namer"
@@ -67,6 +68,16 @@
 	return e.holds(now, prefix) && e.cached[prefix].ready
 }
 
+// fits reports whether the endpoint's memory, as far as known, can hold the request's prompt.
+func (e *endpoint) fits(q *request) bool {
+	return e.view.KVTokens <= 0 || q.PromptTokens <= e.view.KVTokens
+}
+
+// exceedsMemory reports whether the prompt fits into no endpoint of the service.
+func (q *request) exceedsMemory() bool {
+	return len(q.pool.endpoints) > 0 && !slices.ContainsFunc(q.pool.endpoints, func(e *endpoint) bool { return e.fits(q) })
+}
+
 // leaving reports whether the endpoint is leaving, by its entry or by its own responses.
 func (e *endpoint) leaving() bool { return e.view.Leaving || e.announcedLeaving }
 
--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -462,6 +462,20 @@
 
 // arriveWith submits a request with the given shared parts of its prompt.
 func (f *fleet) arriveWith(h *host, k workload, shared []decider.Part) *trackedRequest {
+	r := f.newRequest(h, k, shared)
+	f.perform(h, h.core.Arrive(f.time(), r.request))
+	return r
+}
+
+// arriveWithDeadline submits a request that has the given time.
+func (f *fleet) arriveWithDeadline(h *host, k workload, deadline time.Duration) *trackedRequest {
+	r := f.newRequest(h, k, nil)
+	r.request.Deadline = f.time().Add(deadline)
+	f.perform(h, h.core.Arrive(f.time(), r.request))
+	return r
+}
+
+func (f *fleet) newRequest(h *host, k workload, shared []decider.Part) *trackedRequest {
 	ownTokens := k.prompt - k.shared
 	r := &trackedRequest{host: h, output: k.output, arrived: f.now, request: decider.Request{
 		ID: namer.StreamID(fmt.Sprintf("r-%d", len(f.all))), Service: service, Idempotent: k.idempotent, PromptTokens: k.prompt,
@@ -478,7 +492,6 @@
 	}
 	f.all = append(f.all, r)
 	f.requests[r.request.ID] = r
-	f.perform(h, h.core.Arrive(f.time(), r.request))
 	return r
 }
 
--- a/placer/place.go
+++ b/placer/place.go
@@ -25,6 +25,9 @@
 	for c.nextTurn(now, q) {
 		found := c.pick(now, q)
 		switch {
+		case found.endpoint == nil && q.exceedsMemory():
+			c.refuseUnlessBegun(now, q, classifier.PromptTooLong)
+			return
 		case found.endpoint == nil && found.overloaded:
 			c.refuseUnlessBegun(now, q, classifier.TargetUnreachable)
 			return
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -120,6 +120,8 @@
 	}
 	retryAfter := noEndpointRetry
 	switch {
+	case outcome == classifier.PromptTooLong:
+		retryAfter = promptTooLongRetry
 	case c.rateLimited(now, q, false):
 		outcome, retryAfter = classifier.EndpointsLimited, c.limitRetryAfter(now, q)
 	case outcome == classifier.TargetUnreachable:
