platform: Keep objects that can't be decoded from failing lists and watches

Cause: the JSON library gives up a whole response at 10,000 levels of nesting, wherever they are, so one deeply nested field in one object failed each list, each watch and each read for as long as it was there: daemons kept an old list and new ones never became ready. In a watch, one object with a revision or a name of another type did the same.

--- a/storer/store.go
+++ b/storer/store.go
@@ -34,8 +34,19 @@
 	Objects []Object `json:"objects"`
 	// Version is the version of the store at the time of the list; a watch can continue from it.
 	Version Version `json:"version"`
-	// More reports that the list continues after the last object.
+	// More reports that the list continues after the key Last, or after the last object if Last is empty.
 	More bool `json:"more,omitzero"`
+	// Last is the last key that the page covers. Its object may be missing from Objects, since it can't be decoded or
+	// its key doesn't match the prefix.
+	Last string `json:"last,omitzero"`
+}
+
+// Next returns the key after which the list continues.
+func (p *Page) Next() string {
+	if p.Last == "" && len(p.Objects) > 0 {
+		return p.Objects[len(p.Objects)-1].Key
+	}
+	return p.Last
 }
 
 // Changes is the result of a watch.
