follower: Continue lists after pages without a usable object

If it can't be decoded the page has no objects, and readList took that for the end of the list: the endpoints after it were gone. The same held for a page whose keys don't match a longer prefix.

Pages name the last key that they cover (storer.Page.Last, Next). A list that doesn't advance fails instead of ending or going on for ever, here and in the cleaner of claims.

Evidence: TestListContinuesAfterOddPage and TestListThatDoesNotAdvanceFails fail without the change of readList.

--- a/claimer/cleaner.go
+++ b/claimer/cleaner.go
@@ -76,7 +76,6 @@
 			return removed, errors.Wrap(err, "list claims")
 		}
 		for _, object := range page.Objects {
-			after = object.Key
 			if !c.expired(object) {
 				continue
 			}
@@ -91,6 +90,10 @@
 		if !page.More {
 			return removed, nil
 		}
+		if page.Next() <= after {
+			return removed, errors.Errorf("list of claims doesn't advance after key %q", after)
+		}
+		after = page.Next()
 	}
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -247,11 +247,16 @@
 		}
 		for _, object := range page.Objects {
 			objects[object.Key] = object
-			after = object.Key
 		}
-		if !page.More || len(page.Objects) == 0 {
+		if !page.More {
 			break
 		}
+		if page.Next() <= after {
+			err := errors.Wrapf(storer.ErrUnavailable, "list doesn't advance after key %q", after)
+			f.recordFailure(ctx, callStart, "list", err)
+			return err
+		}
+		after = page.Next()
 	}
 	if known, _ := f.currentVersion(); version.Era() < known.Era() {
 		callStart = time.Time{} // the list does not confirm the replica
--- /dev/null
+++ b/follower/odd_test.go
@@ -0,0 +1,76 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"apricotspool/follower"
+	"apricotspool/imitator"
+	"apricotspool/storer"
+)
+
+// pagedStore lists one key a page and leaves out the objects that can't be decoded, as the client of the store does.
+type pagedStore struct {
+	*imitator.Store
+	odd map[string]bool
+	// stuck makes every page end at the same key.
+	stuck bool
+}
+
+func (s *pagedStore) List(ctx context.Context, prefix, after string, _ int) (storer.Page, error) {
+	page, err := s.Store.List(ctx, prefix, after, 1)
+	if err != nil || len(page.Objects) == 0 {
+		return page, err
+	}
+	page.Last = page.Objects[0].Key
+	if s.odd[page.Last] {
+		page.Objects = nil
+	}
+	if s.stuck {
+		page.More, page.Last = true, prefix
+	}
+	return page, nil
+}
+
+// Guards against a list that ends at a page which holds nothing but an odd object, such as one as large as a page. The
+// endpoints after it were taken for gone.
+func TestListContinuesAfterOddPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &pagedStore{Store: &imitator.Store{}, odd: map[string]bool{prefix + "b": true}}
+		for _, name := range []string{"a", "b", "c"} {
+			_, err := store.Put(t.Context(), prefix+name, []byte(`{}`), 0)
+			is.NoErr(err)
+		}
+		f := &follower.Follower{Source: store, Prefix: prefix}
+		ctx, stop := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		is.Equal(len(f.Listing().Objects), 2)
+		_, present := f.Listing().Objects[prefix+"c"]
+		is.True(present)
+		stop()
+		<-f.Done()
+	})
+}
+
+// Guards against a list without an end, and against one that is taken for complete, if its pages don't advance.
+func TestListThatDoesNotAdvanceFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &pagedStore{Store: &imitator.Store{}, stuck: true}
+		_, err := store.Put(t.Context(), prefix+"a", []byte(`{}`), 0)
+		is.NoErr(err)
+		f := &follower.Follower{Source: store, Prefix: prefix}
+		ctx, stop := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		is.True(f.Listing() == nil)
+		stop()
+		<-f.Done()
+	})
+}
