announcer, follower: Follow sound entries beside odd ones of daemons

Class of the report on odd entries, elsewhere than at the servers: an entry that names another host than its key, or an address that no daemon can have, was taken for a daemon; an entry that another client had spoilt hid its daemon from all others until it was restarted, since it is written once; objects of a megabyte made the replies from readers exceed their limit of 2 MB, after which each daemon read the store itself.

Evidence: TestOddEntriesNameNoDaemon and TestOverwrittenEntryIsWrittenAgain fail without the change, TestLargeValuesAreNotReplicated without the limit; TestRefusedEntryIsLoggedOnce needs the new hook.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -29,6 +29,8 @@
 	stalenessBound = 5 * time.Second
 	// retryDelay is the delay before a failed write is retried.
 	retryDelay = 500 * time.Millisecond
+	// maxEntryBytes bounds the size of an entry, most of which are its blocked prompt parts.
+	maxEntryBytes = 64 << 10
 	// deregisterTimeout bounds the removal of the daemon's own entry.
 	deregisterTimeout = time.Second
 )
@@ -61,6 +63,7 @@
 	mu      sync.Mutex
 	listing *follower.Listing // the listing that members was decoded from
 	members []Member
+	refused map[string]bool       // keys of that listing that could not be decoded
 	blocked []decider.BlockedPart // nil until the daemon has set them; then those of the old entry are kept
 }
 
@@ -69,7 +72,8 @@
 		a.done = make(chan struct{})
 		a.outdated = make(chan struct{}, 1)
 		a.follower = &follower.Follower{
-			Source: a.Reader, Prefix: Prefix, StalenessBound: stalenessBound, Readers: a.Readers, DisableWatch: true, Log: a.Log,
+			Source: a.Reader, Prefix: Prefix, StalenessBound: stalenessBound, Readers: a.Readers, DisableWatch: true,
+			MaxValueBytes: maxEntryBytes, Log: a.Log,
 		}
 	})
 }
@@ -103,17 +107,38 @@
 	}
 	a.listing = listing
 	a.members = nil
+	refused := map[string]bool{}
 	for key, object := range listing.Objects {
-		var m Member
-		if err := json.Unmarshal(object.Value, &m); err != nil {
-			a.Log.Warn().Err(err).Str("key", key).Msg("member-entry-refused")
+		m, err := decodeMember(key, object.Value)
+		if err == nil {
+			a.members = append(a.members, m)
 			continue
 		}
-		a.members = append(a.members, m)
+		if refused[key] = true; !a.refused[key] {
+			a.Log.Warn().Err(err).Str("key", key).Msg("member-entry-refused")
+		}
 	}
+	a.refused = refused
 	return a.members
 }
 
+// decodeMember decodes the entry of a daemon. Other clients may have written it.
+func decodeMember(key string, value []byte) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(value, &m); err != nil {
+		return Member{}, errors.Wrapf(err, "decode entry %q", key)
+	}
+	if key != Prefix+string(m.Host) {
+		return Member{}, errors.Errorf("entry %q is of host %q", key, m.Host)
+	}
+	for _, address := range []netip.AddrPort{m.PeerAddress, m.DatagramAddress} {
+		if !address.IsValid() || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() {
+			return Member{}, errors.Errorf("entry %q has address %v, which no daemon can have", key, address)
+		}
+	}
+	return m, nil
+}
+
 // Run writes the daemon's own entry and follows all entries until ctx is done.
 func (a *Announcer) Run(ctx context.Context) error {
 	a.init()
@@ -145,7 +170,7 @@
 	outdated := true
 	for ctx.Err() == nil {
 		changed := a.follower.Changed()
-		if a.lost(written) {
+		if a.lost(written) || a.overwritten(written) {
 			written, outdated = 0, true
 		}
 		if outdated {
@@ -180,6 +205,16 @@
 	return !present
 }
 
+// overwritten reports whether another client has replaced the entry by something else.
+func (a *Announcer) overwritten(written storer.Version) bool {
+	listing := a.follower.Listing()
+	if written == 0 || listing == nil {
+		return false
+	}
+	found, present := listing.Objects[a.key()]
+	return present && found.Version > written && string(found.Value) != string(a.written)
+}
+
 func (a *Announcer) key() string { return Prefix + string(a.Self.Host) }
 
 // writeEntry writes the entry over the version that was written last, unless it is the same, and returns the new
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -147,3 +148,52 @@
 		is.Equal(store.Calls()["put"], puts+1)
 	})
 }
+
+// Guards against an odd entry of another client that hides sound daemons, or names a daemon that can't exist.
+func TestOddEntriesNameNoDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &imitator.Store{}
+		for name, value := range map[string]string{
+			"b":      `{"host":"a","data-centre":"a","peers":"10.0.0.9:1","datagrams":"10.0.0.9:1"}`, // of another daemon
+			"c":      `{"host":"c","data-centre":"a","peers":"10.0.0.9:70000","datagrams":"10.0.0.9:1"}`,
+			"d":      `{"host":"d","data-centre":"a","peers":"10.0.0.9:1"}`,
+			"e":      `{"host":"e","data-centre":"a","peers":"10.0.0.9:1","datagrams":"0.0.0.0:1"}`,
+			"f":      `{"host":"f","data-centre":"a","peers":"10.0.0.9:1","datagrams":"10.0.0.9:0"}`,
+			"g":      `{"host":"g","data-centre":"a","peers":"10.0.0.9:1","datagrams":"10.0.0.9:1","blocked-parts":[{"level":1e99}]}`,
+			"h":      `[[[[`,
+			"i":      `{"host":"i","data-centre":"a","peers":"10.0.0.9:1","datagrams":"10.0.0.9:1","x":"` + strings.Repeat("x", 100_000) + `"}`,
+			"sound":  `{"host":"sound","data-centre":"a","peers":"10.0.0.9:1","datagrams":"10.0.0.9:1","unknown":{"x":[[1]]}}`,
+			"no\nme": `{"host":"no\nme","data-centre":"a","peers":"10.0.0.9:1","datagrams":"10.0.0.9:1"}`,
+		} {
+			_, err := store.Put(t.Context(), announcer.Prefix+name, []byte(value), 0)
+			is.NoErr(err)
+		}
+		a, stop := start(t, store, "a", 1)
+		defer stop()
+		time.Sleep(4 * time.Second)
+		is.Equal(hosts(a), []namer.Host{"a", "sound"})
+	})
+}
+
+// Guards against a daemon that the others don't know any more, since another client has spoilt its entry.
+func TestOverwrittenEntryIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &imitator.Store{}
+		a, stop := start(t, store, "a", 1)
+		defer stop()
+		time.Sleep(4 * time.Second)
+		for _, value := range []string{`{"host":"b"}`, `null`, `?`} {
+			old, err := store.Get(t.Context(), announcer.Prefix+"a")
+			is.NoErr(err)
+			_, err = store.Put(t.Context(), old.Key, []byte(value), old.Version)
+			is.NoErr(err)
+			time.Sleep(10 * time.Second)
+			is.Equal(hosts(a), []namer.Host{"a"})
+		}
+		puts := store.Calls()["put"]
+		time.Sleep(time.Minute)
+		is.Equal(store.Calls()["put"], puts)
+	})
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -71,6 +71,9 @@
 	// StalenessBound is the time within which a change must be seen; 0 means DefaultStalenessBound.
 	StalenessBound time.Duration
 	Readers        Readers // nil makes this daemon a reader
+	// MaxValueBytes is the size up to which values are replicated; 0 means any size. A larger object is followed with an
+	// empty value: the replies to other daemons are limited, and one object must not make them fail.
+	MaxValueBytes int
 	// DisableWatch makes the follower see changes by polling only.
 	DisableWatch bool
 	Log          zerolog.Logger
@@ -246,7 +249,7 @@
 			return err
 		}
 		for _, object := range page.Objects {
-			objects[object.Key] = object
+			objects[object.Key] = f.limited(object)
 		}
 		if !page.More {
 			break
@@ -296,10 +299,21 @@
 		f.recordFailure(ctx, callStart, "watch", err)
 		sleep(ctx, jitter(minBackoff))
 	default:
+		for i := range changes.Objects {
+			changes.Objects[i] = f.limited(changes.Objects[i])
+		}
 		f.update(time.Now(), callStart, func(s *state) bool { return s.applyChanges(changes) })
 	}
 }
 
+// limited returns an object without a value that is too large.
+func (f *Follower) limited(o storer.Object) storer.Object {
+	if f.MaxValueBytes > 0 && len(o.Value) > f.MaxValueBytes {
+		o.Value = nil
+	}
+	return o
+}
+
 func (f *Follower) currentVersion() (storer.Version, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/follower/odd_test.go
+++ b/follower/odd_test.go
@@ -74,3 +74,31 @@
 		<-f.Done()
 	})
 }
+
+// Guards against one huge object that makes the replies to all other daemons exceed their limit.
+func TestLargeValuesAreNotReplicated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &imitator.Store{}
+		put := func(name string, size int) {
+			_, err := store.Put(t.Context(), prefix+name, make([]byte, size), 0)
+			is.NoErr(err)
+		}
+		put("listed", 101)
+		f := &follower.Follower{Source: store, Prefix: prefix, MaxValueBytes: 100}
+		ctx, stop := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(time.Second)
+		put("watched", 101)
+		put("sound", 100)
+		synctest.Wait()
+		reply := f.Serve(ctx, &follower.SyncRequest{Prefix: prefix})
+		is.Equal(len(reply.Objects), 3)
+		for _, o := range reply.Objects {
+			is.Equal(len(o.Value) == 100, o.Key == prefix+"sound")
+			is.True(len(o.Value) <= 100)
+		}
+		stop()
+		<-f.Done()
+	})
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -31,7 +31,9 @@
 	Source ListingSource
 	// Decode decodes an entry. Entries that it rejects are ignored.
 	Decode func(key string, value []byte) (Entry, error)
-	Log    zerolog.Logger
+	// OnRefused, if set, is called for each version of an entry that Decode has rejected.
+	OnRefused func()
+	Log       zerolog.Logger
 
 	once    sync.Once
 	done    chan struct{}
@@ -40,7 +42,8 @@
 	mu      sync.Mutex
 	changed chan struct{} // closed and replaced on each change
 
-	set entrySet // used only by Run
+	set     entrySet        // used only by Run
+	refused map[string]bool // keys whose last version was rejected; used only by Run
 }
 
 func (r *Registrar) init() {
@@ -77,11 +80,13 @@
 func (r *Registrar) Run(ctx context.Context) error {
 	r.init()
 	defer close(r.done)
+	r.refused = map[string]bool{}
 	for {
 		changed := r.Source.Changed()
 		var recheckTimer <-chan time.Time
 		if listing := r.Source.Listing(); listing != nil {
 			recheckAfter := r.set.apply(time.Now(), listing, r.decode)
+			maps.DeleteFunc(r.refused, func(key string, _ bool) bool { _, present := listing.Objects[key]; return !present })
 			r.publish()
 			if recheckAfter > 0 {
 				recheckTimer = time.After(recheckAfter)
@@ -98,11 +103,18 @@
 
 func (r *Registrar) decode(o storer.Object) (Entry, bool) {
 	entry, err := r.Decode(o.Key, o.Value)
-	if err != nil {
+	if err == nil {
+		delete(r.refused, o.Key)
+		return entry, true
+	}
+	if r.OnRefused != nil {
+		r.OnRefused()
+	}
+	if !r.refused[o.Key] { // its writer may write it again and again
+		r.refused[o.Key] = true
 		r.Log.Warn().Err(err).Str("key", o.Key).Msg("endpoint-entry-refused")
-		return Entry{}, false
 	}
-	return entry, true
+	return Entry{}, false
 }
 
 func (r *Registrar) publish() {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"apricotspool/follower"
 	"apricotspool/namer"
@@ -152,3 +154,29 @@
 		is.Equal(usable(r), "")
 	})
 }
+
+// Guards against a log line for each version of an odd entry whose writer writes it again and again, and against an odd
+// entry that is not counted or not logged at all.
+func TestRefusedEntryIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var log bytes.Buffer
+		refused := 0
+		source := &fakeSource{changed: make(chan struct{})}
+		r := &registrar.Registrar{Source: source, Decode: decode, OnRefused: func() { refused++ }, Log: zerolog.New(&log)}
+		ctx, stop := context.WithCancel(t.Context())
+		go r.Run(ctx)
+		lines := func() int { return strings.Count(log.String(), `"key":"a"`) }
+		source.set(time.Time{}, "a=ready", "b=ready")
+		source.set(time.Time{}, "a=?", "b=ready")
+		is.Equal(usable(r), "b")
+		source.set(time.Time{}, "b=ready", "a=?") // another version
+		is.Equal([]int{lines(), refused}, []int{1, 2})
+		source.set(time.Time{}, "a=ready", "b=ready")
+		is.Equal(usable(r), "a b")
+		source.set(time.Time{}, "a=?", "b=ready")
+		is.Equal([]int{lines(), refused}, []int{2, 3})
+		stop()
+		<-r.Done()
+	})
+}
