leaser: Replace a lease that can't be decoded

Where the store has eras, the fencing token is the version of the write, so nothing is lost with the value: the lease counts as held by an unknown process, and is acquired once its last holder's authority must have expired. Without eras the value has the last token, and the lease is left alone as before.

Evidence: TestUnreadableLeaseIsReplaced fails without the change in its row with eras.

--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -235,12 +235,20 @@
 	}
 	var value lease
 	if err := json.Unmarshal(object.Value, &value); err != nil {
-		return errors.Wrapf(err, "decode lease %q", l.Name)
+		if object.Version.Era() == 0 {
+			return errors.Wrapf(err, "decode lease %q", l.Name) // only the value has the last fencing token
+		}
+		// Another client has written it. The lease is replaced once its last holder's authority has expired.
+		l.Log.Warn().Err(err).Str("lease", string(l.Name)).Msg("lease-not-valid")
+		value = lease{Holder: unreadableHolder, Fencing: l.value.Fencing}
 	}
 	l.observe(object.Version, value, l.clock().Now())
 	return nil
 }
 
+// unreadableHolder stands for the holder of a lease that can't be decoded.
+var unreadableHolder = namer.Process{Host: "unreadable"}
+
 func (l *Leaser) observe(version storer.Version, value lease, now Reading) {
 	if !l.observed || version != l.version {
 		l.versionSeenAt = now
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -240,3 +240,36 @@
 		}
 	}
 }
+
+// Guards against a lease that no daemon can ever hold again since another client has written something else there, and
+// against a second holder meanwhile. Without eras the last fencing token would be lost, so nobody takes the lease then.
+func TestUnreadableLeaseIsReplaced(t *testing.T) {
+	for _, eras := range []bool{true, false} {
+		t.Run(fmt.Sprintf("eras %t", eras), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := &imitator.Store{}
+				if eras {
+					store.Restore(store.Backup())
+				}
+				candidates := []*candidate{startCandidate(t, store, 0, nil), startCandidate(t, store, 1, nil)}
+				holder := awaitHolder(candidates, 30*time.Second)
+				is.True(holder != nil)
+				first, _ := holder.Endpoints("west")
+				for _, value := range []string{`[[[`, `{"fencing":1e99}`, ``} {
+					old, err := store.Get(t.Context(), string(leaser.ForDataCentre("west")))
+					is.NoErr(err)
+					_, err = store.Put(t.Context(), old.Key, []byte(value), old.Version)
+					is.NoErr(err)
+					is.True(maxHolders(candidates, 20*time.Second) <= 1)
+				}
+				next := awaitHolder(candidates, 30*time.Second)
+				is.Equal(next != nil, eras)
+				if eras {
+					second, _ := next.Endpoints("west")
+					is.True(second.Fencing() > first.Fencing())
+				}
+			})
+		})
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -91,7 +91,9 @@
 }
 
 // Ready reports whether a load balancer should send requests to this daemon.
-func (s *Server) Ready() bool { return !s.draining.Load() && configured(s.Snapshot()) && !s.Dispatcher.Stalled() }
+func (s *Server) Ready() bool {
+	return !s.draining.Load() && configured(s.Snapshot()) && !s.Dispatcher.Stalled()
+}
 
 // configured reports whether a configuration is active. Version 0 is the empty one of a new fleet.
 func configured(s *configurer.Snapshot) bool { return s != nil && s.Version() > 0 }
