forwarder: Accept only responses that name their call

Report of another operator: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that had run, or such a request ran at a second server. It happens here.

Cause: a response with another id was skipped, but one without an id was taken for the response to the current call, whatever it was. A refusal that broke off in its head took over the fields of the response that followed it, its id too. And a connection on which a response to another call had come was used again.

Fix: a response to a call with an id must have that id, once; without it, or with the begin of another response in its head, the call has failed and may have run (502, or another attempt where that is safe). A connection with a response to another call isn't kept. A call whose id a connection has carried before takes another connection, and so does a request without an id.

TestMismatchedResponsesAreSkipped expected one connection, that is, that the connection with the late response is used again. That was the fault; it expects exactly one more now.

--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,8 +33,9 @@
 	// MaxResponse is the limit on the bytes received for one call, its framing included; 0 means
 	// DefaultMaxResponse.
 	MaxResponse int64
-	// EchoHeader names a header that endpoints copy from a call to its response. A response with another
-	// value belongs to another call and is skipped. Empty disables the check.
+	// EchoHeader names a header that endpoints copy from a call to its response, which identifies the call. A response
+	// with another value belongs to another call and is skipped; one without a value fails the call. Calls without the
+	// header accept responses without it. Empty disables the check.
 	EchoHeader  string
 	DialTimeout time.Duration // 0 means DefaultDialTimeout
 	// IdleTimeout is how long an idle connection is kept, unless the endpoint announces a shorter
@@ -57,7 +59,7 @@
 	if err := c.checkLimits(call); err != nil {
 		return nil, err
 	}
-	conn, err := c.acquireConn(ctx, to, call.MaxIdle)
+	conn, err := c.acquireConn(ctx, to, call.MaxIdle, call.Header.Get(c.EchoHeader))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", err, ErrNotSent)
 	}
@@ -108,11 +110,43 @@
 	return DefaultIdleTimeout
 }
 
-// mismatched reports whether a response belongs to another call.
-func (c *Client) mismatched(call Call, response http.Header) bool {
+// belongsTo reports whether a response belongs to a call. It returns an error if that can't be told: a response without
+// the id may be that of any earlier call on the connection.
+func (c *Client) belongsTo(call Call, response http.Header) (bool, error) {
 	if c.EchoHeader == "" {
-		return false
+		return true, nil
 	}
-	echoed := response.Get(c.EchoHeader)
-	return echoed != "" && echoed != call.Header.Get(c.EchoHeader)
+	own, echoed := call.Header.Get(c.EchoHeader), response.Values(c.EchoHeader)
+	switch {
+	case len(echoed) > 1:
+		return false, errors.Errorf("response has %d ids", len(echoed))
+	case len(echoed) == 0 || echoed[0] == "":
+		if own != "" {
+			return false, errors.New("response has no id")
+		}
+		return true, nil
+	}
+	return echoed[0] == own, nil
 }
+
+// checkHead returns an error if the head of a response contains the begin of another one, as after a response that broke
+// off in its head. Its status and fields are then those of two responses.
+func checkHead(response *http.Response) error {
+	if strings.Contains(response.Status, httpVersionPrefix) {
+		return errors.Errorf("status %q contains another response", response.Status)
+	}
+	for name, values := range response.Header {
+		if name == "Via" {
+			continue // names protocols
+		}
+		for _, value := range values {
+			if strings.Contains(value, httpVersionPrefix) {
+				return errors.Errorf("header %s contains another response", name)
+			}
+		}
+	}
+	return nil
+}
+
+// httpVersionPrefix begins the status lines of responses.
+const httpVersionPrefix = "HTTP/1."
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -34,6 +34,9 @@
 	maxMismatchedBytes = 1 << 20
 )
 
+// maxCarried is the number of calls whose ids a connection remembers.
+const maxCarried = 16
+
 // conn is a connection to an endpoint, owned by one call at a time.
 type conn struct {
 	net.Conn
@@ -42,6 +45,9 @@
 	reader    *bufio.Reader
 	limiter   *responseLimiter
 	discarded atomic.Bool
+	odd       bool               // a response to another call has arrived
+	carried   [maxCarried]string // ids of the last calls
+	calls     int
 
 	idleSince, expires time.Time // guarded by Client.mu while idle
 }
@@ -98,6 +104,8 @@
 
 // roundTrip sends a call and reads the header of its response.
 func (n *conn) roundTrip(ctx context.Context, c *Client, call Call) (*Response, error) {
+	n.carried[n.calls%maxCarried] = call.Header.Get(c.EchoHeader)
+	n.calls++
 	stop := context.AfterFunc(ctx, n.discard)
 	w := &requestWriter{conn: n, limit: c.maxRequest()}
 	w.start(call)
@@ -146,9 +154,17 @@
 			}
 			continue
 		}
-		if !c.mismatched(call, response.Header) {
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
+		belongs, err := c.belongsTo(call, response.Header)
+		if err != nil {
+			return nil, err
+		}
+		if belongs {
 			return response, nil
 		}
+		n.odd = true
 		if skipped++; skipped > maxMismatched {
 			return nil, errors.New("too many responses to other calls")
 		}
@@ -347,14 +363,15 @@
 	}
 }
 
-// finish returns the connection to the pool. It discards it if unread bytes have arrived on it or the call
-// has not been written completely, since the endpoint would take the next call for the rest of this one.
+// finish returns the connection to the pool. It discards it if unread bytes or a response to another call have
+// arrived on it, or the call has not been written completely, since the endpoint would take the next call for the rest of
+// this one.
 func (b *responseBody) finish() {
 	if b.done {
 		return
 	}
 	b.done = true
-	if !b.stop() || b.idleTimeout <= 0 || !b.writer.complete() || b.conn.reader.Buffered() > 0 || b.conn.discarded.Load() {
+	if !b.stop() || b.idleTimeout <= 0 || !b.writer.complete() || b.conn.odd || b.conn.reader.Buffered() > 0 || b.conn.discarded.Load() {
 		b.conn.discard()
 		return
 	}
--- a/forwarder/conn_test.go
+++ b/forwarder/conn_test.go
@@ -82,7 +82,8 @@
 	return string(body), err
 }
 
-// Guards against a late response to an earlier call that is taken for the response to the current one.
+// Guards against a late response to an earlier call that is taken for the response to the current one, and against
+// reusing the connection on which it came.
 func TestMismatchedResponsesAreSkipped(t *testing.T) {
 	is := is.New(t)
 	e := listen(t, func(_ int, in *bufio.Reader, out net.Conn) {
@@ -103,7 +104,7 @@
 		is.NoErr(err)
 		is.Equal(body, "own "+strconv.Itoa(i))
 	}
-	is.Equal(e.connections.Load(), int32(1))
+	is.Equal(e.connections.Load(), int32(2)) // one more after the late response
 }
 
 // Guards against reusing a connection on which unsolicited bytes have arrived.
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -28,8 +29,9 @@
 	open int     // including idle ones
 }
 
-// acquireConn returns the most recently used idle connection that is still usable, or dials a new one.
-func (c *Client) acquireConn(ctx context.Context, to Target, maxIdle time.Duration) (*conn, error) {
+// acquireConn returns the most recently used idle connection that is still usable for a call with an id, or dials a new
+// one.
+func (c *Client) acquireConn(ctx context.Context, to Target, maxIdle time.Duration, id string) (*conn, error) {
 	for {
 		idle, err := c.takeIdleOrReserve(to, maxIdle)
 		if err != nil {
@@ -38,7 +40,7 @@
 		if idle == nil {
 			return c.dial(ctx, to)
 		}
-		if idle.reusable() {
+		if idle.reusable() && !idle.hasCarried(id) {
 			return idle, nil
 		}
 		idle.discard()
@@ -139,6 +141,12 @@
 	c.sweep(now)
 }
 
+// hasCarried reports whether one of the last calls on the connection had the id, so that it would not tell their
+// responses apart.
+func (n *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(n.carried[:], id)
+}
+
 // reusable reports whether an idle connection is still open and has received no unsolicited bytes.
 func (n *conn) reusable() bool {
 	raw, ok := n.Conn.(syscall.Conn)
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -26,6 +26,10 @@
 // an endpoint that closes an idle connection would lose the request.
 const nonRetryableMaxIdle = 2 * time.Second
 
+// newConnection keeps a call without an id off connections with earlier calls, since nothing would tell their responses
+// apart.
+const newConnection = time.Nanosecond
+
 // attempt sends the request once, to the endpoint that the decision core chose. It reports whether the
 // request has ended.
 func (x *exchange) attempt(ctx context.Context, action decider.Action) bool {
@@ -92,7 +96,10 @@
 	call := forwarder.Call{
 		Method: x.r.Method, Path: path, Query: query, Host: x.r.Host, Header: header, Body: x.bodyReader(), Length: int64(len(x.body)),
 	}
-	if !x.route.Repeatable() {
+	switch {
+	case x.call.ID == "":
+		call.MaxIdle = newConnection
+	case !x.route.Repeatable():
 		call.MaxIdle = nonRetryableMaxIdle
 	}
 	return call
