--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -36,6 +36,10 @@
 	MaxIdle time.Duration
 }
 
+// NewConnection as Call.MaxIdle keeps a call off connections with earlier calls. Nothing tells the responses to calls
+// without an id apart.
+const NewConnection = time.Nanosecond
+
 // Response is the response to a call. The caller reads Body at its own pace, which applies backpressure to
 // the endpoint, and must close it.
 type Response struct {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -26,10 +26,6 @@
 // an endpoint that closes an idle connection would lose the request.
 const nonRetryableMaxIdle = 2 * time.Second
 
-// newConnection keeps a call without an id off connections with earlier calls, since nothing would tell their responses
-// apart.
-const newConnection = time.Nanosecond
-
 // attempt sends the request once, to the endpoint that the decision core chose. It reports whether the
 // request has ended.
 func (x *exchange) attempt(ctx context.Context, action decider.Action) bool {
@@ -98,7 +94,7 @@
 	}
 	switch {
 	case x.call.ID == "":
-		call.MaxIdle = newConnection
+		call.MaxIdle = forwarder.NewConnection
 	case !x.route.Repeatable():
 		call.MaxIdle = nonRetryableMaxIdle
 	}
--- a/relayer/repeated_test.go
+++ b/relayer/repeated_test.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -113,9 +115,12 @@
 func TestRequestWithoutIDHasItsOwnConnection(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
+	var mu sync.Mutex
 	addresses := map[string]bool{}
 	f.endpoint("a", func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
 		addresses[r.RemoteAddr] = true
+		mu.Unlock()
 		w.Header().Del("X-Id")
 		if id := r.Header.Get("X-Id"); id != "" {
 			w.Header().Set("X-Id", id)
@@ -128,3 +133,43 @@
 	}
 	is.Equal(len(addresses), 3)
 }
+
+// Guards against an earlier report of an engine that is taken for the current one, on a connection with earlier calls: it
+// says nothing about the attempts that are in doubt now.
+func TestReportsHaveTheirOwnConnections(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	var mu sync.Mutex // guards used, reports and reused
+	used, reports, reused := map[string]bool{}, 0, 0
+	var silence atomic.Int64
+	silence.Store(int64(200 * time.Millisecond))
+	f.endpoint("e", func(w http.ResponseWriter, r *http.Request) {
+		report := r.URL.Path == "/report"
+		mu.Lock()
+		if report {
+			reports++
+			if used[r.RemoteAddr] {
+				reused++
+			}
+		}
+		used[r.RemoteAddr] = true
+		mu.Unlock()
+		if report {
+			io.WriteString(w, `{"Running":1}`)
+			return
+		}
+		time.Sleep(time.Duration(silence.Load()))
+		streamFrom(3, func() {})(w, r)
+	})
+	f.endpoint("other", streamFrom(3, func() {}))
+	for range 3 {
+		f.core.actions = dispatchTo("e", "other")
+		f.send("GET", "/engine/", "")
+		time.Sleep(600 * time.Millisecond) // reports are shared for a while
+		silence.Store(3 * silence.Load())
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(reports >= 2)
+	is.Equal(reused, 0)
+}
--- a/relayer/reports.go
+++ b/relayer/reports.go
@@ -89,7 +89,7 @@
 	method, path, header := r.Dialect.ReportCall(target.Endpoint)
 	sentAt := time.Now()
 	r.Dispatcher.Report(decider.Event{Kind: decider.EventCalled, Endpoint: target.Endpoint})
-	response, err := r.Endpoints.Forward(ctx, target, forwarder.Call{Method: method, Path: path, Header: header})
+	response, err := r.Endpoints.Forward(ctx, target, forwarder.Call{Method: method, Path: path, Header: header, MaxIdle: forwarder.NewConnection})
 	if err != nil {
 		return detector.Report{}, err
 	}
