relayer: Continue a stream only by its own events

Report of another operator: a stream had begun and broke off, the next server answered with an error, and clients found the error's text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete. It happens here.

Cause: a resumed attempt's status, signature and content type were checked, and then anything with a blank line was passed on as events. An attempt that ended without any event ended the stream as complete. Events that the caller had already were passed on again if an endpoint began at the start.

Fix: an event has one id, which comes after the last one; anything else breaks the attempt off, and what came before it is kept. A stream is complete only after an attempt that has sent an event of it, or when the events sent hold all the tokens that were asked for. An encoded response doesn't continue a stream. Comments are passed on once an attempt has sent an event.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -76,6 +76,8 @@
 		return x.handleBrokenResponse(ctx, action, errors.Errorf("status %d without a signature", response.Status))
 	case response.Status >= 300:
 		return x.handleErrorStatus(ctx, action, response)
+	case x.headerSent && response.Header.Get("Content-Encoding") != "":
+		return x.handleBrokenResponse(ctx, action, errors.New("response to continue the stream is encoded"))
 	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
 		return x.relayStream(ctx, wd, action, response)
 	case x.headerSent:
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,18 +49,22 @@
 		n, err := response.Body.Read(chunk)
 		if n > 0 {
 			x.stream.partial = append(x.stream.partial, chunk[:n]...)
-			if err := x.passEvents(wd, action, response, flusher); err != nil {
+			invalid, err := x.passEvents(wd, action, response, flusher)
+			if err != nil {
 				x.abortResponse(classifier.CallerDisconnected)
 				return true
 			}
+			if invalid != nil {
+				return x.handleBrokenResponse(ctx, action, invalid)
+			}
 		}
 		switch {
-		case err == io.EOF && len(bytes.TrimSpace(x.stream.partial)) == 0 && x.headerSent:
+		case err == io.EOF && len(bytes.TrimSpace(x.stream.partial)) == 0 && x.mayEnd(action):
 			x.reportFinished(action, x.stream.events)
 			x.recordOutcome(classifier.Served)
 			return true
 		case err == io.EOF:
-			return x.handleBrokenResponse(ctx, action, errors.New("stream ended within an event"))
+			return x.handleBrokenResponse(ctx, action, errors.New("stream ended within an event, or without continuing"))
 		case err != nil:
 			return x.handleBrokenResponse(ctx, action, err)
 		case len(x.stream.partial) > maxEventBytes:
@@ -68,16 +73,58 @@
 	}
 }
 
-// passEvents sends the complete events received so far to the caller.
-func (x *exchange) passEvents(wd *watchdog, action decider.Action, response *forwarder.Response, to *http.ResponseController) error {
-	end := bytes.LastIndex(x.stream.partial, []byte("\n\n"))
-	if end < 0 {
-		return nil
+// mayEnd reports whether the stream can be complete when an attempt ends between two events. An attempt that has sent no
+// event has not shown that it continues the stream, so that only the length of the output can tell.
+func (x *exchange) mayEnd(action decider.Action) bool {
+	return x.stream.started == action.Attempt || x.outputComplete()
+}
+
+// outputComplete reports whether the events sent hold as many tokens as the caller has asked for at most.
+func (x *exchange) outputComplete() bool {
+	return x.headerSent && x.call.LastEvent == "" && x.call.MaxOutput > 0 && x.stream.events*x.eventTokens >= x.call.MaxOutput
+}
+
+// passEvents sends the complete events received so far to the caller. It returns invalid if something was received that
+// doesn't continue the stream; what came before it has been sent.
+func (x *exchange) passEvents(wd *watchdog, action decider.Action, response *forwarder.Response, to *http.ResponseController) (invalid, err error) {
+	last, events, count := x.resumeAfter(), x.stream.partial[:0], namer.Tokens(0)
+	rest := x.stream.partial
+	for {
+		end := bytes.Index(rest, eventEnd)
+		if end < 0 {
+			break
+		}
+		event := rest[:end+len(eventEnd)]
+		rest = rest[len(event):]
+		begun := count > 0 || x.stream.started == action.Attempt
+		if isComment(event) {
+			if begun {
+				events = append(events, event...) // moves bytes to the left at most
+			}
+			continue
+		}
+		id, ok := eventID(event)
+		if !ok || !follows(id, last) {
+			invalid = errors.Errorf("event %q does not continue the stream after event %q", event[:min(len(event), maxLoggedEvent)], last)
+			break
+		}
+		events, last = append(events, event...), id
+		count++
+	}
+	if count > 0 || len(events) > 0 {
+		err = x.writeEvents(wd, action, response, to, events)
+	}
+	x.stream.partial = x.stream.partial[:copy(x.stream.partial, rest)]
+	if x.stream.events += count; count > 0 {
+		x.stream.lastEventID = last
 	}
+	return invalid, err
+}
+
+func (x *exchange) writeEvents(wd *watchdog, action decider.Action, response *forwarder.Response, to *http.ResponseController, events []byte) error {
 	wd.progress()
 	wd.pause()
 	defer wd.resume()
-	complete := x.stream.partial[:end+2]
 	if !x.headerSent {
 		response.Header.Del("Content-Length") // another endpoint may continue the stream
 		x.writeHeader(response.Status, response.Header)
@@ -86,15 +133,52 @@
 		x.stream.started = action.Attempt
 		x.ticket.Started(action.Attempt, action.Endpoint)
 	}
-	if _, err := x.w.Write(complete); err != nil {
+	if _, err := x.w.Write(events); err != nil {
 		return errors.Wrap(err, "write events")
 	}
 	x.stream.recordSent(time.Now())
-	x.countEvents(complete)
-	x.stream.partial = x.stream.partial[:copy(x.stream.partial, x.stream.partial[end+2:])]
 	return errors.Wrap(to.Flush(), "write events")
 }
 
+// eventEnd ends an event of a stream.
+var eventEnd = []byte("\n\n")
+
+// maxLoggedEvent bounds the part of an invalid event in an error.
+const maxLoggedEvent = 80
+
+// isComment reports whether what stands between two ends of events is no event: comments, or nothing.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && line[0] != '\n' {
+			return false
+		}
+	}
+	return true
+}
+
+// eventID returns the id of an event. Each event of a stream has one.
+func eventID(event []byte) (id string, ok bool) {
+	ids := 0
+	for line := range bytes.Lines(event) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			id = string(bytes.TrimSpace(value))
+			ids++
+		}
+	}
+	return id, ids == 1 && id != ""
+}
+
+// follows reports whether an event can come after another one: ids increase. If the last one isn't a number, only its
+// repetition is recognized.
+func follows(id, last string) bool {
+	before, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return id != last
+	}
+	number, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && number > before
+}
+
 // recordSent records when events were sent to the caller.
 func (s *streamState) recordSent(now time.Time) {
 	if s.firstAt.IsZero() {
@@ -104,13 +188,3 @@
 	}
 	s.lastAt = now
 }
-
-// countEvents updates the number of events sent and the id of the last one.
-func (x *exchange) countEvents(events []byte) {
-	for line := range bytes.Lines(events) {
-		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
-			x.stream.lastEventID = string(bytes.TrimSpace(id))
-			x.stream.events++
-		}
-	}
-}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -26,12 +26,14 @@
 	startTime time.Time
 	call      Call
 
-	version  namer.ConfigVersion // version of the routing table
-	route    *matcher.Route
-	service  namer.Service
-	engine   bool      // the service is one of engines, which report their load
-	deadline time.Time // the earlier of the caller's and the route's
-	body     []byte
+	version namer.ConfigVersion // version of the routing table
+	route   *matcher.Route
+	service namer.Service
+	engine  bool // the service is one of engines, which report their load
+	// eventTokens is the number of output tokens in one event of the service's streams; 0 if unknown.
+	eventTokens namer.Tokens
+	deadline    time.Time // the earlier of the caller's and the route's
+	body        []byte
 	// fingerprint is set once the body has been read.
 	fingerprint decider.Fingerprint
 
@@ -73,7 +75,10 @@
 		x.refuse(classifier.NoEndpoint, defaultRetryAfter)
 		return false
 	}
-	x.route, x.service, x.engine = route, service, table.Services[service].Engine != nil
+	x.route, x.service = route, service
+	if engine := table.Services[service].Engine; engine != nil {
+		x.engine, x.eventTokens = true, engine.EventTokens
+	}
 	limit := route.Timeout
 	if x.call.Timeout > 0 && (limit == 0 || x.call.Timeout < limit) {
 		limit = x.call.Timeout
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -36,6 +36,8 @@
 func (dialect) Decode(header http.Header) relayer.Call {
 	timeout, _ := strconv.Atoi(header.Get("X-Patience"))
 	call := relayer.Call{ID: header.Get("X-Id"), Timeout: time.Duration(timeout) * time.Millisecond, LastEvent: header.Get("X-Last-Event")}
+	output, _ := strconv.Atoi(header.Get("X-Output")) // absent: no limit
+	call.MaxOutput = namer.Tokens(output)
 	for id := range strings.FieldsSeq(header.Get("X-Parts")) {
 		number, _ := strconv.ParseUint(id, 16, 64)
 		call.Parts = append(call.Parts, decider.Part{ID: number, Tokens: 100})
@@ -241,7 +243,7 @@
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: matcher.Stream, Timeout: 5 * time.Second},
 		{Name: "resumed", Host: "h", Prefix: "/resumed/", Kind: matcher.Stream, Resumable: true, Timeout: 5 * time.Second, Attempts: 2},
 		{Name: "engine", Host: "h", Prefix: "/engine/", Kind: matcher.Stream, Resumable: true, Timeout: 5 * time.Second, Target: 100 * time.Millisecond, Attempts: 2},
-	}, []matcher.Service{{Name: "e", Engine: &matcher.Engine{}}}, matcher.Limits{BodyBytes: 1000})
+	}, []matcher.Service{{Name: "e", Engine: &matcher.Engine{EventTokens: 10}}}, matcher.Limits{BodyBytes: 1000})
 	for i := range table.Routes {
 		table.Routes[i].Services = []matcher.WeightedService{{Service: "s", Weight: 1}}
 		if table.Routes[i].Name == "engine" {
