placer: Keep times in messages within their bounds

No response came, so the daemon took one owner after the other for unresponsive and in the end granted the reservation itself.

Times in messages are cut to the bound. TestLongDeadlinesFitIntoMessages fails without it.

--- a/placer/fleet_test.go
+++ b/placer/fleet_test.go
@@ -312,13 +312,17 @@
 	if f.dropMessage != nil && f.dropMessage(from.name, a.To) {
 		return
 	}
+	message := a.Message.(placer.Message)
+	if err := message.Check(); err != nil {
+		f.t.Errorf("message from %s to %s would be refused: %v", from.name, a.To, err)
+	}
 	if f.inspect != nil {
-		f.inspect(a.To, a.Message.(placer.Message))
+		f.inspect(a.To, message)
 	}
 	i := slices.IndexFunc(f.hosts, func(h *host) bool { return h.name == a.To })
 	f.after(networkDelay, func() {
 		if to := f.hosts[i]; !to.down {
-			f.perform(to, to.core.Receive(f.time(), from.name, a.Message.(placer.Message)))
+			f.perform(to, to.core.Receive(f.time(), from.name, message))
 		}
 	})
 }
--- a/placer/place.go
+++ b/placer/place.go
@@ -111,7 +111,7 @@
 
 func (q *request) reserveRequest(now namer.Seconds, found choice) *ReserveRequest {
 	r := &ReserveRequest{
-		ReservationID: q.reservation, Endpoint: found.endpoint.view.Name, Work: q.work(now, found), Budget: found.prefillBudget,
+		ReservationID: q.reservation, Endpoint: found.endpoint.view.Name, Work: q.work(now, found), Budget: min(found.prefillBudget, maxMessageTime),
 		PermitOnly: found.permitOnly, Permitted: found.permitted, Limit: found.endpoint.limitNotice(now),
 	}
 	if r.PermitOnly {
@@ -133,7 +133,7 @@
 func (q *request) work(now namer.Seconds, found choice) Work {
 	work := Work{
 		Tokens: float64(q.PromptTokens), Fetched: found.prefixFetched, Class: q.class(), Stream: q.decodeHeavy() && !found.prefill,
-		Gap: namer.SecondsOf(q.TargetGap), Until: q.deadline - now,
+		Gap: min(namer.SecondsOf(q.TargetGap), maxMessageTime), Until: min(q.deadline-now, maxMessageTime),
 	}
 	if work.Prefix = q.prefix(); work.Prefix != 0 {
 		work.PrefixTokens = q.prefixTokens()
--- a/placer/progress_test.go
+++ b/placer/progress_test.go
@@ -241,3 +241,17 @@
 		}
 	}
 }
+
+// Guards against requests for reservations that other daemons refuse as malformed, since a caller waits for longer than
+// messages can say: its daemon took each owner for unresponsive.
+func TestLongDeadlinesFitIntoMessages(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3, 1, 3)
+	for _, k := range []workload{question, longPrompt} {
+		for _, h := range f.hosts {
+			r := f.arriveWithDeadline(h, k, 100*time.Hour)
+			f.run(f.now + 50*time.Millisecond)
+			is.True(r.endpoint != "")
+		}
+	}
+}
