--- a/placer/evidence.go
+++ b/placer/evidence.go
@@ -185,7 +185,7 @@
 	o.notices = append(o.notices, n)
 }
 
-// addEnding adds an ending, divided into notices that fit into a message each.
+// addEnding adds an ending, divided into notices that fit into a message each. Each of them takes one suspect at least.
 func (o *outbox) addEnding(e quarantiner.Ending) {
 	for len(e.Suspects) > 0 {
 		part := e
@@ -240,6 +240,7 @@
 	if len(out.notices) == 0 {
 		return
 	}
+	// Each turn sends at least one notice, which is sent noticeDelays+1 times at most.
 	for message, sent := out.next(now); message != nil && out.allows(now, len(c.members)-1); message, sent = out.next(now) {
 		c.broadcast(Message{Quarantine: message})
 		for _, n := range sent {
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -43,7 +43,8 @@
 }
 
 // proposeReplacement asks for a check of the engine at which the request could go on, or keeps the attempt if there
-// is none. Where nothing has been sent to the caller, a check isn't worth its time.
+// is none. Where nothing has been sent to the caller, a check isn't worth its time. An engine that fails its check is
+// ejected and not proposed again, so that the checks of an attempt end.
 func (c *Core) proposeReplacement(now namer.Seconds, q *request) {
 	e := c.pickReplacement(now, q)
 	switch {
