follower: Refuse replies of readers with absurd values

Such a reply counts as failed; the daemon reads the store once its replica is stale.

TestOddReplyOfReaderIsRefused fails in its three rows without the check. In forwarder a field is renamed to the usual term.

--- a/follower/odd_test.go
+++ b/follower/odd_test.go
@@ -102,3 +102,39 @@
 		<-f.Done()
 	})
 }
+
+// oddReaders is a reader with the same reply to each call.
+type oddReaders struct{ reply follower.SyncReply }
+
+func (oddReaders) IsReader() bool     { return false }
+func (oddReaders) ReportStaleReader() {}
+
+func (r oddReaders) Sync(context.Context, *follower.SyncRequest) (*follower.SyncReply, error) {
+	time.Sleep(10 * time.Millisecond)
+	return &r.reply, nil
+}
+
+// Guards against a reply with absurd values that keeps a daemon from reading the store itself: with a confirmation in the
+// future its replica never became stale.
+func TestOddReplyOfReaderIsRefused(t *testing.T) {
+	for name, reply := range map[string]follower.SyncReply{
+		"negative age":       {Ready: true, Full: true, Version: 1, Age: -100 * time.Hour},
+		"outage to come":     {Ready: true, Full: true, Version: 1, SinceOutage: -100 * time.Hour},
+		"object of a prefix": {Ready: true, Full: true, Version: 1, Objects: []storer.Object{{Key: "other/a", Version: 1}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newFaultyStore()
+				f := &follower.Follower{Source: store, Prefix: prefix, StalenessBound: stalenessBound, Readers: oddReaders{reply}}
+				run(t, f)
+				time.Sleep(time.Second)
+				store.put(t, "a")
+				time.Sleep(2 * stalenessBound)
+				is.Equal(objectCount(f.Listing()), 1)
+				_, present := f.Listing().Objects[prefix+"a"]
+				is.True(present)
+			})
+		})
+	}
+}
--- a/follower/sync.go
+++ b/follower/sync.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"apricotspool/storer"
 )
 
@@ -32,12 +35,28 @@
 	SinceOutage time.Duration
 }
 
+// check returns an error if a reply has values that no reader sends.
+func (r *SyncReply) check(prefix string) error {
+	if r.Age < 0 || r.SinceOutage < 0 {
+		return errors.Errorf("age %v and time since the outage %v must not be negative", r.Age, r.SinceOutage)
+	}
+	for _, o := range r.Objects {
+		if !strings.HasPrefix(o.Key, prefix) {
+			return errors.Errorf("object %q does not have the prefix %q", o.Key, prefix)
+		}
+	}
+	return nil
+}
+
 // syncFromReader fetches and applies the changes from a reader.
 func (f *Follower) syncFromReader(ctx context.Context) {
 	known, _ := f.currentVersion()
 	callCtx, cancel := context.WithTimeout(ctx, f.boundFraction(longPollFraction)+syncTimeoutSlack)
 	defer cancel()
 	reply, err := f.Readers.Sync(callCtx, &SyncRequest{Prefix: f.Prefix, Known: known, Wait: f.boundFraction(longPollFraction)})
+	if err == nil {
+		err = reply.check(f.Prefix)
+	}
 	if err != nil || !reply.Ready {
 		f.Log.Debug().Err(err).Str("prefix", f.Prefix).Msg("sync-failed")
 		sleep(ctx, minBackoff)
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -45,7 +45,7 @@
 	reader    *bufio.Reader
 	limiter   *responseLimiter
 	discarded atomic.Bool
-	odd       bool               // a response to another call has arrived
+	stray     bool               // a response to another call has arrived
 	carried   [maxCarried]string // ids of the last calls
 	calls     int
 
@@ -164,7 +164,7 @@
 		if belongs {
 			return response, nil
 		}
-		n.odd = true
+		n.stray = true
 		if skipped++; skipped > maxMismatched {
 			return nil, errors.New("too many responses to other calls")
 		}
@@ -371,7 +371,7 @@
 		return
 	}
 	b.done = true
-	if !b.stop() || b.idleTimeout <= 0 || !b.writer.complete() || b.conn.odd || b.conn.reader.Buffered() > 0 || b.conn.discarded.Load() {
+	if !b.stop() || b.idleTimeout <= 0 || !b.writer.complete() || b.conn.stray || b.conn.reader.Buffered() > 0 || b.conn.discarded.Load() {
 		b.conn.discard()
 		return
 	}
