placer: Refuse long streams at once that find no slot

It placed long streams that three engines had declined as late work, also by way of prefill engines and then without a reservation, and asked engines without free slots last, so that streams took the slots that are kept for prompts.

Now a long stream that three engines decline is refused at once, and engines are asked in stream order as before. The placement ends all the same.

--- a/forwarder/repeated_test.go
+++ b/forwarder/repeated_test.go
@@ -101,3 +101,41 @@
 		}
 	}
 }
+
+// Guards against a repeated refusal that has the id of the current call, since an earlier call on the connection had the
+// same.
+func TestSameIDTakesAnotherConnection(t *testing.T) {
+	is := is.New(t)
+	e := listen(t, func(n int, in *bufio.Reader, out net.Conn) {
+		for calls := 1; ; calls++ {
+			id, _, ok := request(in)
+			switch {
+			case !ok:
+				return
+			case n == 1:
+				io.WriteString(out, refusal(id)) // again and again
+			default:
+				respond(out, id, "own")
+			}
+		}
+	})
+	client := &forwarder.Client{EchoHeader: "Request-Id"}
+	response, err := client.Forward(t.Context(), e.target(), call("1"))
+	is.NoErr(err)
+	io.Copy(io.Discard, response.Body)
+	response.Body.Close()
+	body, err := send(t, client, e.target(), call("1"))
+	is.NoErr(err)
+	is.Equal(body, "own")
+}
+
+// Guards against a head with two ids, of which one is the call's.
+func TestResponseWithTwoIDsIsRefused(t *testing.T) {
+	is := is.New(t)
+	e := listen(t, func(_ int, in *bufio.Reader, out net.Conn) {
+		request(in)
+		respond(out, "1", "body", "Request-Id: 2\r\n")
+	})
+	_, err := send(t, &forwarder.Client{EchoHeader: "Request-Id"}, e.target(), call("1"))
+	is.True(err != nil)
+}
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -327,7 +327,7 @@
 // summary returns the load summary of the ledger.
 func (l *ledger) summary(now namer.Seconds, name namer.Endpoint) Load {
 	load := Load{
-		Endpoint: name, Rate: l.rateOrDefault(), InProgress: l.inProgress(now), Running: l.running, Streams: l.streams, Urgent: noStreamClass, PrefixTTL: l.prefixTTL(now),
+		Endpoint: name, Rate: l.rateOrDefault(), InProgress: min(l.inProgress(now), maxMessageTime), Running: l.running, Streams: l.streams, Urgent: noStreamClass, PrefixTTL: l.prefixTTL(now),
 		Inflow: l.placedTokens.perSecond(now, demandInflowTime),
 	}
 	if l.streams > 0 {
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -73,7 +73,10 @@
 // pick returns the engine with the earliest estimated first event. It is a decode engine, or a prefill engine
 // that only processes the prompt.
 func (c *Core) pick(now namer.Seconds, q *request) choice {
-	if q.decodeHeavy() && q.deliveredTokens == 0 && !q.late {
+	if q.decodeHeavy() && q.deliveredTokens == 0 {
+		if q.late {
+			return choice{overloaded: true} // an engine without a free slot would preempt the stream
+		}
 		if found := c.pickStream(now, q); found.endpoint != nil {
 			return found
 		}
@@ -194,11 +197,8 @@
 			continue
 		}
 		order := e.streamOrder
-		switch {
-		case e.activeRequests(now) >= e.view.Concurrency:
-			order += 2 * len(q.pool.endpoints) // will probably decline
-		case float64(e.streams(now)) >= streamFillRatio*float64(e.view.Concurrency):
-			order += len(q.pool.endpoints) // used only if all are filled
+		if float64(e.streams(now)) >= streamFillRatio*float64(e.view.Concurrency) {
+			order += len(q.pool.endpoints) // used only if all are full
 		}
 		if order < least {
 			first, least = e, order
--- a/placer/progress.go
+++ b/placer/progress.go
@@ -10,7 +10,7 @@
 // It advances in turns: in a loop, or by a response to a reservation request or its time-out. Each turn removes one
 // possibility, so that a placement ends:
 //   - an endpoint that declines is not asked again. When maxReserveRequests have declined, they may be asked once more for
-//     late work; request.late doesn't return to false within a placement
+//     late work, but for long streams; request.late doesn't return to false within a placement
 //   - an endpoint without room in its rate limit is not asked for a while
 //   - a daemon that doesn't respond owns no ledgers for a while
 
--- a/relayer/resume_test.go
+++ b/relayer/resume_test.go
@@ -47,6 +47,7 @@
 	"head as a stream":              withLength("200 OK\r\nX-Stamp: b\r\nContent-Type: text/event-stream\r\n", "HTTP/1.1 500 Internal Server Error\nContent-Type: text/plain\n\nout of memory\n\n"),
 	"event without an id":           withLength("200 OK\r\nX-Stamp: b\r\nContent-Type: text/event-stream\r\n", "event: error\ndata: out of memory\n\n"),
 	"event with an odd id":          withLength("200 OK\r\nX-Stamp: b\r\nContent-Type: text/event-stream\r\n", "id: x\ndata: out of memory\n\n"),
+	"two events run together":       withLength("200 OK\r\nX-Stamp: b\r\nContent-Type: text/event-stream\r\n", "id: 8\ndata: out of\nid: 9\ndata: memory\n\n"),
 	"events from the start":         withLength("200 OK\r\nX-Stamp: b\r\nContent-Type: text/event-stream\r\n", events(4)),
 	"the last event again":          withLength("200 OK\r\nX-Stamp: b\r\nContent-Type: text/event-stream\r\n", event(2)+event(3)+event(4)),
 	"encoded events":                withLength("200 OK\r\nX-Stamp: b\r\nContent-Type: text/event-stream\r\nContent-Encoding: gzip\r\n", event(4)),
