relayer: Log what proved that a request has not run

The line of a refused request said may-have-run=false and not why, so that three hypotheses could not be told apart afterwards. It has the proof of the last attempt now, one of five words. No decision changes.

TestLogRecordsWhatProvesThatNothingRan fails without it in all five rows.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -31,6 +31,7 @@
 func (x *exchange) attempt(ctx context.Context, action decider.Action) bool {
 	target, known := x.relayer.Target(action.Endpoint)
 	if !known {
+		x.notRun = proofNotSent
 		x.ticket.Failed(action.Attempt, action.Endpoint, classifier.RetryEndpointLeaving, true, x.stream.events)
 		return false
 	}
@@ -138,6 +139,9 @@
 func (x *exchange) handleForwardError(ctx context.Context, action decider.Action, err error) bool {
 	notRun := errors.Is(err, forwarder.ErrNotSent)
 	x.mayHaveRun = x.mayHaveRun || !notRun
+	if notRun {
+		x.notRun = proofNotSent
+	}
 	if x.endIfDone(ctx) {
 		return true
 	}
@@ -153,8 +157,10 @@
 func (x *exchange) handleRefusal(action decider.Action, response *forwarder.Response, verdict Verdict) {
 	io.Copy(io.Discard, io.LimitReader(response.Body, maxBufferedBytes)) // lets the connection be reused
 	reason := classifier.RetryEndpointRefused
+	x.notRun = proofRefused
 	if verdict.WrongEndpoint {
 		reason = classifier.RetryEndpointLeaving
+		x.notRun = proofWrongEndpoint
 	}
 	x.logAttemptFailure(action, reason, errors.Errorf("status %d", response.Status))
 	x.ticket.Refused(action.Attempt, action.Endpoint, reason, verdict.RetryAfter, x.stream.events)
@@ -331,6 +337,7 @@
 		reason = classifier.RetryEndpointRefused
 	}
 	reason = cmp.Or(abandoned(ctx), reason)
+	x.notRun = proofPromptOnly
 	x.logAttemptFailure(action, reason, err)
 	// Processing a prompt does not count as executing the request.
 	x.ticket.Refused(action.Attempt, action.Endpoint, reason, verdict.RetryAfter, 0)
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -40,6 +40,7 @@
 	ticket       *dispatcher.Ticket
 	ticketClosed bool                   // the decision core no longer tracks the request
 	mayHaveRun   bool                   // some endpoint may have executed the request
+	notRun       notRunProof            // of the last attempt, while no endpoint may have executed the request
 	headerSent   bool                   // the response's header has been sent
 	abort        bool                   // the response can't be completed; abort the connection
 	lastFailure  classifier.RetryReason // of the last failed attempt
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -70,6 +71,18 @@
 	return event
 }
 
+// notRunProof is what shows that a request has not been executed.
+type notRunProof string
+
+// The proofs. Each is that of the last attempt; the ones before it had a proof too.
+const (
+	proofNoAttempt     notRunProof = "no-attempt"
+	proofNotSent       notRunProof = "not-sent"       // no byte of the call was sent
+	proofRefused       notRunProof = "refused"        // the endpoint says that it has not executed the call
+	proofWrongEndpoint notRunProof = "wrong-endpoint" // the endpoint at the address isn't the expected one
+	proofPromptOnly    notRunProof = "prompt-only"    // the call was for the prompt only
+)
+
 // logOutcome logs the outcome of the request.
 func (x *exchange) logOutcome(took time.Duration) {
 	event := x.relayer.Log.Info()
@@ -84,6 +97,9 @@
 	if !x.stream.firstAt.IsZero() {
 		event.Dur("first-event-ms", x.stream.firstAt.Sub(x.startTime)).Dur("longest-gap-ms", x.stream.longestGap)
 	}
+	if x.outcome.Class().Execution == classifier.NotRun && !x.mayHaveRun {
+		event.Str("not-run", string(cmp.Or(x.notRun, proofNoAttempt)))
+	}
 	if x.outcome != classifier.Served {
 		addOptional(event, "failed-attempt", string(x.lastFailure))
 	}
--- a/relayer/log_test.go
+++ b/relayer/log_test.go
@@ -42,6 +42,40 @@
 	})
 }
 
+// Guards against a log that does not show afterwards why a caller was told that its request had not run.
+func TestLogRecordsWhatProvesThatNothingRan(t *testing.T) {
+	for proof, c := range map[string]struct {
+		actions []decider.Action
+		answer  http.HandlerFunc
+	}{
+		"no-attempt":     {nil, nil},
+		"not-sent":       {dispatchTo("gone"), nil},
+		"refused":        {dispatchTo("a"), func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Not-Run", "1"); w.WriteHeader(503) }},
+		"wrong-endpoint": {dispatchTo("a"), func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Not-Run", "1"); w.WriteHeader(421) }},
+		"prompt-only": {
+			[]decider.Action{{Kind: decider.ActionPrefill, Attempt: 1, Endpoint: "a"}},
+			func(http.ResponseWriter, *http.Request) { abortConnection() },
+		},
+	} {
+		t.Run(proof, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, c.actions...)
+			f.endpoint("a", c.answer)
+			is.Equal(f.send("POST", "/unsafe/", "x").status, 503)
+			lines := f.log.requestLines(t, "id-1", "not-run")
+			is.Equal(lines[len(lines)-1], "request-ended not-run="+proof)
+		})
+	}
+	t.Run("may have run", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, dispatchTo("a")...)
+		f.endpoint("a", func(http.ResponseWriter, *http.Request) { abortConnection() })
+		is.Equal(f.send("POST", "/unsafe/", "x").status, 502)
+		lines := f.log.requestLines(t, "id-1", "not-run")
+		is.Equal(lines[len(lines)-1], "request-ended")
+	})
+}
+
 // Guards against a log that does not show that a non-idempotent request may have been executed although
 // it got no response.
 func TestLogRecordsPossibleExecution(t *testing.T) {
