relayer, platform: Believe and pass on 'not run' only if status and header agree

Cause: two halves of a promise, each taken alone. A server's own 503, 429 or 408 without Not-Executed was passed on with its stamp, although only Not-Executed says that nothing ran; and Not-Executed was believed beside any status, 200 and 504 too. Now a response in which the two disagree has failed and may have run: 502, or another attempt where that is safe.

A row of TestUnsafeRequestExecutesOnce demanded the fault (the endpoint's 503 without a promise passed on as 503); it demands 502 now.

--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -75,6 +75,10 @@
 	switch {
 	case !verdict.Signed:
 		return x.handleBrokenResponse(ctx, action, errors.Errorf("status %d without a signature", response.Status))
+	case verdict.Inconsistent:
+		x.logAttemptFailure(action, classifier.RetryEndpointFailed, errors.Errorf("status %d contradicts what the header says about the execution", response.Status))
+		x.ticket.Failed(action.Attempt, action.Endpoint, classifier.RetryEndpointFailed, false, x.stream.events)
+		return false
 	case response.Status >= 300:
 		return x.handleErrorStatus(ctx, action, response)
 	case x.headerSent && response.Header.Get("Content-Encoding") != "":
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -76,7 +76,9 @@
 
 // Verdict is what a response says about the execution of its request.
 type Verdict struct {
-	NotRun        bool // the endpoint guarantees that it did not execute the request
+	NotRun bool // the endpoint guarantees that it did not execute the request
+	// Inconsistent is set if the status and the header disagree on whether the request ran. It may have.
+	Inconsistent  bool
 	WrongEndpoint bool // another endpoint uses the address, or the endpoint has another role
 	Signed        bool // the response carries the endpoint's signature
 	Leaving       bool // the endpoint is about to leave
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -54,8 +54,9 @@
 }
 
 func (dialect) Classify(status int, header http.Header) relayer.Verdict {
+	refuses, says := status == 503 || status == 429 || status == 421, header.Get("X-Not-Run") != ""
 	verdict := relayer.Verdict{
-		NotRun: header.Get("X-Not-Run") != "", Signed: header.Get("X-Stamp") != "", WrongEndpoint: status == http.StatusMisdirectedRequest,
+		NotRun: refuses && says, Inconsistent: refuses != says, Signed: header.Get("X-Stamp") != "", WrongEndpoint: status == http.StatusMisdirectedRequest,
 	}
 	if rate, err := strconv.ParseFloat(header.Get("X-Limit"), 64); err == nil {
 		verdict.Limit = decider.StatedLimit{State: decider.LimitStated, Rate: namer.Rate(rate)}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -77,7 +77,7 @@
 		}, 502, 0},
 		"no signature":          {func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("X-Stamp") }, 502, 0},
 		"endpoint's own 500":    {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, 500, 0},
-		"503 without X-Not-Run": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, 503, 0},
+		"503 without X-Not-Run": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, 502, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
