forwarder: Close a connection before reporting that nothing was sent on it

What callers could see: 503 'not run' for a call that was sent afterwards.

Cause: a connection is marked as discarded before it is closed. If the caller's context ends the call at the moment at which its answer fails, the second one that discards the connection returns at once, finds that the writer hasn't begun, and reports ErrNotSent; the writer of a long body then gets the processor and writes on a connection that is still open. Now both close through one sync.Once, so that discard returns after the connection has been closed, by whomever. Client.Dial is new, for connections of a test.

--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -38,6 +39,8 @@
 	// header accept responses without it. Empty disables the check.
 	EchoHeader  string
 	DialTimeout time.Duration // 0 means DefaultDialTimeout
+	// Dial opens a connection; nil means TCP with keep-alive probes.
+	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// IdleTimeout is how long an idle connection is kept, unless the endpoint announces a shorter
 	// timeout; 0 means DefaultIdleTimeout.
 	IdleTimeout time.Duration
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -44,6 +44,7 @@
 	address   netip.AddrPort
 	reader    *bufio.Reader
 	limiter   *responseLimiter
+	closing   sync.Once
 	discarded atomic.Bool
 	stray     bool               // a response to another call has arrived
 	carried   [maxCarried]string // ids of the last calls
@@ -86,20 +87,25 @@
 	return n, err
 }
 
-// discard closes the connection and removes it from the count of open ones. It may be called repeatedly.
+// discard closes the connection and removes it from the count of open ones. It may be called repeatedly. Nothing is sent
+// on the connection after it has returned, even if another goroutine has begun to close it.
 func (n *conn) discard() {
-	if n.discarded.Swap(true) {
-		return
+	if n.closeOnce() {
+		n.client.connClosed(n.address)
 	}
-	n.Close()
-	n.client.connClosed(n.address)
 }
 
 // closeIdle closes an idle connection. The caller holds Client.mu and updates the count of open ones.
-func (n *conn) closeIdle() {
-	if !n.discarded.Swap(true) {
+func (n *conn) closeIdle() { n.closeOnce() }
+
+// closeOnce closes the connection, or waits until it is closed, and reports whether it was the first to close it.
+func (n *conn) closeOnce() (first bool) {
+	n.closing.Do(func() {
+		n.discarded.Store(true)
 		n.Close()
-	}
+		first = true
+	})
+	return first
 }
 
 // roundTrip sends a call and reads the header of its response.
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -106,6 +106,19 @@
 }
 
 func (c *Client) dial(ctx context.Context, to Target) (*conn, error) {
+	dial := c.Dial
+	if dial == nil {
+		dial = c.dialTCP
+	}
+	raw, err := dial(ctx, to.Address)
+	if err != nil {
+		c.connClosed(to.Address)
+		return nil, err
+	}
+	return newConn(c, to.Address, raw), nil
+}
+
+func (c *Client) dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	timeout := c.DialTimeout
 	if timeout == 0 {
 		timeout = DefaultDialTimeout
@@ -113,12 +126,7 @@
 	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	raw, err := dialer.DialContext(ctx, "tcp", to.Address.String())
-	if err != nil {
-		c.connClosed(to.Address)
-		return nil, err
-	}
-	return newConn(c, to.Address, raw), nil
+	return dialer.DialContext(ctx, "tcp", address.String())
 }
 
 // connClosed removes a closed connection from the count of open ones.
