relayer: Remove the caller's hop-by-hop headers before setting our own

What callers could do: 'Connection: Expect-Instance' removed that header from the call to the server, since headers that Connection names were removed after ours had been set; a call for the prompt only could lose its mark and run the request.

Now they are removed from the caller's headers first. TestCallerCannotStripHeaders failed before.

--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -132,7 +132,7 @@
 	if response.Close || hasConnectionClose(call.Header) {
 		idleTimeout = 0
 	}
-	removeHopByHop(response.Header)
+	RemoveHopByHop(response.Header)
 	body := &responseBody{ReadCloser: response.Body, conn: n, writer: w, idleTimeout: idleTimeout, stop: stop}
 	if response.Body == http.NoBody {
 		body.finish()
@@ -317,7 +317,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	removeHopByHop(header)
+	RemoveHopByHop(header)
 	header.Del("Host")
 	header.Del("Content-Length")
 	switch {
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -12,8 +12,8 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// removeHopByHop removes hop-by-hop headers, including those that Connection names.
-func removeHopByHop(header http.Header) {
+// RemoveHopByHop removes hop-by-hop headers, including those that Connection names.
+func RemoveHopByHop(header http.Header) {
 	for _, value := range header["Connection"] {
 		for name := range strings.SplitSeq(value, ",") {
 			header.Del(strings.TrimSpace(name))
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -94,6 +94,7 @@
 // buildCall returns the call to the endpoint for an attempt.
 func (x *exchange) buildCall(a Attempt) forwarder.Call {
 	header := x.r.Header.Clone()
+	forwarder.RemoveHopByHop(header) // before Encode: the caller must not name headers of the daemon in Connection
 	x.relayer.Dialect.Encode(header, a)
 	path, query, _ := strings.Cut(x.r.RequestURI, "?")
 	call := forwarder.Call{
--- a/relayer/promise_test.go
+++ b/relayer/promise_test.go
@@ -70,6 +70,18 @@
 	}
 }
 
+// Guards against a caller that strips headers of the daemon from a call by naming them in Connection: a prompt-only call would
+// run the request, and any endpoint at the address would accept it.
+func TestCallerCannotStripHeaders(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, dispatchTo("a")...)
+	f.endpoint("a", func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "%s %s %q", r.Header.Get("X-Endpoint"), r.Header.Get("X-Prefill"), r.Header.Get("X-Hop"))
+	})
+	got := f.send("POST", "/unsafe/", "x", "Connection", "X-Endpoint, X-Prefill, X-Hop", "X-Hop", "1")
+	is.Equal(got.body, `a false ""`)
+}
+
 // rawEndpoint starts an endpoint that runs a script on each connection.
 func rawEndpoint(t *testing.T, script func(in *bufio.Reader, out net.Conn)) forwarder.Target {
 	t.Helper()
