--- a/decider/event.go
+++ b/decider/event.go
@@ -223,6 +223,7 @@
 	Declined     int           // endpoints that declined a reservation
 	Usable       int           // for a refusal: number of endpoints able to take requests at all
 	Late         bool          // the first event is predicted to miss its target
+	Build        namer.Build   // of the endpoint, as far as known
 }
 
 // Report is a state change of an endpoint, a daemon or a prompt part as seen by a Core.
--- a/decider/fleet.go
+++ b/decider/fleet.go
@@ -85,4 +85,5 @@
 	Leaving     bool              // gets no new requests
 	KVTokens    namer.Tokens      // KV cache capacity of the engine; 0 when unknown
 	Incarnation namer.Incarnation // a new incarnation has lost its cache and its requests
+	Build       namer.Build
 }
--- a/namer/name.go
+++ b/namer/name.go
@@ -29,6 +29,8 @@
 	Model string
 	// Endpoint names a back end: a model engine or an instance of a plain service.
 	Endpoint string
+	// Build is the software version of an endpoint. Builds have no order.
+	Build string
 	// Rank names a priority class with its own latency targets and capacity share.
 	Rank string
 )
--- a/placer/place.go
+++ b/placer/place.go
@@ -299,6 +299,9 @@
 // which may be newer than the one that the choice was made with.
 func (q *request) basis(now namer.Seconds, found choice) decider.Basis {
 	basis := decider.Basis{Expected: found.expectedDelay.Duration(), Declined: len(q.declined), Late: q.late}
+	if found.endpoint != nil {
+		basis.Build = found.endpoint.view.Build
+	}
 	if e := found.endpoint; !q.pool.plain && e.load.Rate > 0 {
 		basis.QueueingTime, basis.LoadAge = e.queueDelay(now, q.class()).Duration(), (now - e.loadUpdatedAt).Duration()
 		basis.Expected = max(basis.Expected, basis.QueueingTime)
--- a/registrar/entry.go
+++ b/registrar/entry.go
@@ -21,4 +21,5 @@
 	Incarnation namer.Incarnation
 	Role        namer.Role
 	Models      []namer.Model
+	Build       namer.Build
 }
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -48,6 +48,8 @@
 	MaxOutput, ExpectedOutput namer.Tokens
 	Parts                     []decider.Part
 	LastEvent                 string // id of the last event that the caller received; empty to start from the beginning
+	// Resumes is the id of the call whose response brought the stream's first event; empty if not given.
+	Resumes string
 }
 
 // Attempt holds the parameters of one attempt to serve a request.
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -28,6 +28,7 @@
 	default:
 		event.Str("endpoint", string(a.Endpoint)).Int("attempt", int(a.Attempt)).Bool("prompt-only", a.Kind == decider.ActionPrefill).
 			Int("priority", a.Priority).Dur("expected-ms", a.Basis.Expected).Dur("waiting-ms", a.Basis.QueueingTime).Dur("news-age-ms", a.Basis.LoadAge)
+		addOptional(event, "build", string(a.Basis.Build))
 		addOptional(event, "fetch", string(a.Fetch))
 		addOptional(event, "backup", string(a.Backup))
 		addOptional(event, "repeats-after", string(a.Retry))
@@ -91,6 +92,7 @@
 	}
 	event.Str("request", x.call.ID).Str("service", string(x.service)).Str("outcome", string(x.outcome)).
 		Uint64("version", uint64(x.version)).Bool("may-have-run", x.mayHaveRun).Dur("took-ms", took)
+	addOptional(event, "resumes", x.call.Resumes)
 	if x.route != nil {
 		event.Str("route", string(x.route.Name))
 	}
