placer, archivist: Continue a stream only at the software version that began it

Cause: the version of a server was decoded and used nowhere. The class: a property that must last over attempts was not part of what an attempt is chosen by.

Change: a request keeps the build of its first event, and all choices of an engine that generates leave the others out, backups included. Daemons tell three others of a stream's origin while several builds serve, and ask them for one that a caller takes up; what is not known is refused at once (stream-unknown, build-gone). While one build has served for longer than a stream can be taken up nothing is kept; the store lists a service's builds, so that daemons know that after a restart. A new build begins streams once it is listed and the staleness bound has passed. Entries without a readable version name no server. A resumable stream's service follows from its id.

--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"apricotspool/announcer"
+	"apricotspool/archivist"
 	"apricotspool/asserter"
 	"apricotspool/assigner"
 	"apricotspool/dispatcher"
@@ -68,6 +69,7 @@
 	fleet      *gatewayFleet
 	keptParts  *keptParts
 	announcer  *announcer.Announcer
+	archivist  *archivist.Archivist
 	datagrams  *messenger.Datagrams
 	endpoints  forwarder.Service
 	roleLease  *leaser.Leaser
@@ -126,9 +128,10 @@
 	g.dispatcher = &dispatcher.Dispatcher{Core: core, Retries: g.metrics, Peers: peers, Log: g.Log.Events}
 	g.datagrams.Receive = peers.receiver(core, g.dispatcher)
 	g.fleet = &gatewayFleet{
-		settings: g.Settings, platform: g.Platform, config: g.config, registrar: g.registrar, announcer: g.announcer,
+		settings: g.Settings, platform: g.Platform, config: g.config, entries: g.entries, registrar: g.registrar, announcer: g.announcer,
 		dispatcher: g.dispatcher, log: g.Log.Events,
 	}
+	g.connectArchivist()
 	g.keptParts = &keptParts{core, g.fleet}
 	g.endpoints = &forwarder.Client{EchoHeader: g.Platform.EchoHeader}
 	g.relayer = &relayer.Relayer{
--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotspool/announcer"
+	"apricotspool/archivist"
 
 	"github.com/rs/zerolog"
 
@@ -28,8 +29,10 @@
 	settings   *loader.GatewaySettings
 	platform   Platform
 	config     *follower.Follower
+	entries    *follower.Follower
 	registrar  *registrar.Registrar
 	announcer  *announcer.Announcer
+	archivist  *archivist.Archivist
 	dispatcher *dispatcher.Dispatcher
 	log        zerolog.Logger
 
@@ -61,7 +64,7 @@
 // Run applies changes of the configuration, the endpoints and the membership until ctx ends.
 func (f *gatewayFleet) Run(ctx context.Context) error {
 	for {
-		config, entries, members := f.config.Changed(), f.registrar.Changed(), f.announcer.Changed()
+		config, entries, members, builds := f.config.Changed(), f.registrar.Changed(), f.announcer.Changed(), f.archivist.Changed()
 		if err := f.update(ctx); err != nil {
 			return err
 		}
@@ -71,6 +74,7 @@
 		case <-config:
 		case <-entries:
 		case <-members:
+		case <-builds:
 		}
 	}
 }
@@ -123,13 +127,13 @@
 
 // buildFleet converts the routing table, the endpoints and the membership to the core's representation of the fleet.
 func (f *gatewayFleet) buildFleet(table *matcher.Table, entries []registrar.Entry) decider.Fleet {
-	fleet := decider.Fleet{DataCentre: f.settings.DataCentre}
+	fleet := decider.Fleet{DataCentre: f.settings.DataCentre, Settling: f.settings.StalenessBounds.Endpoints.Std()}
 	for _, m := range f.announcer.Members() {
 		fleet.Members = append(fleet.Members, decider.MemberView{Host: m.Host, DataCentre: m.DataCentre, Blocked: m.BlockedParts})
 	}
 	fleet.Hosts = len(fleet.Members)
 	for name, s := range table.Services {
-		view := decider.ServiceView{Name: name, Plain: s.Engine == nil}
+		view := decider.ServiceView{Name: name, Plain: s.Engine == nil, StreamLifetime: table.StreamLifetime(name), Builds: f.archivist.Listed(name)}
 		if s.Engine != nil {
 			view.Backups, view.EventTokens, view.KVTransfer = s.Engine.Backups, s.Engine.EventTokens, s.Engine.KVTransfer
 		}
--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -103,6 +103,7 @@
 		{Name: "dispatcher", Part: g.dispatcher},
 		{Name: "fleet", Part: g.fleet},
 		{Name: "announcer", Part: g.announcer},
+		{Name: "archivist", Part: g.archivist},
 		{Name: "kept-parts", Part: g.keptParts},
 		{Name: "datagrams", Part: g.datagrams},
 		{Name: "role-lease", Part: g.roleLease},
--- a/classifier/outcome.go
+++ b/classifier/outcome.go
@@ -47,6 +47,8 @@
 	PlacementStalled   Outcome = "placement-stalled"
 	PromptTooLong      Outcome = "prompt-too-long"
 	StreamGone         Outcome = "stream-gone"
+	StreamUnknown      Outcome = "stream-unknown"
+	BuildGone          Outcome = "build-gone"
 	CallerDisconnected Outcome = "caller-gone"
 	Internal           Outcome = "internal"
 )
@@ -84,6 +86,8 @@
 	PlacementStalled:   {http.StatusServiceUnavailable, NotRun, true, "The daemon has found no endpoint in the number of steps that suffices; a fault of the daemon."},
 	PromptTooLong:      {http.StatusServiceUnavailable, NotRun, true, "The prompt is larger than the memory of each endpoint of the service; it is not worth asking again soon."},
 	StreamGone:         {http.StatusGone, Unknown, false, "No endpoint knows the stream any more."},
+	StreamUnknown:      {http.StatusServiceUnavailable, NotRun, true, "The software version that began the stream isn't known here, so it can't be resumed; start it anew."},
+	BuildGone:          {http.StatusServiceUnavailable, NotRun, true, "No endpoint of the software version that began the stream is left; start it anew."},
 	CallerDisconnected: {499, Unknown, false, "The caller closed the connection."},
 	Internal:           {http.StatusInternalServerError, Unknown, false, "The daemon failed."},
 }
--- a/decider/event.go
+++ b/decider/event.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"apricotspool/classifier"
+	"apricotspool/historian"
 	"apricotspool/namer"
 )
 
@@ -42,6 +43,11 @@
 	Parts []Part
 	// Attempts limits the number of attempts of this request; 0 means no limit beyond the general ones.
 	Attempts int
+	// Stream identifies the stream of a request that callers can take up later; 0 for none. Continues says that the request
+	// takes up a stream that has begun, maybe at another daemon, and Lifetime how long callers can take it up.
+	Stream    historian.StreamKey
+	Continues bool
+	Lifetime  time.Duration
 	// Fingerprint is the same for requests that are the same to an endpoint; 0 if unknown.
 	Fingerprint Fingerprint
 }
--- a/decider/fleet.go
+++ b/decider/fleet.go
@@ -16,6 +16,8 @@
 	Services   []ServiceView
 	Endpoints  []EndpointView
 	Models     []ModelView
+	// Settling is the time within which all daemons learn of a change of the endpoints.
+	Settling time.Duration
 	// TransferRate is the bandwidth of KV cache transfers between engines, in bytes per second; 0 means
 	// DefaultTransferRate.
 	TransferRate float64
@@ -59,7 +61,11 @@
 	EventTokens namer.Tokens
 	// KVTransfer is the time to transfer the KV cache of one token within a data centre; 0 when unknown.
 	KVTransfer time.Duration
-	Deadline   time.Duration
+	// StreamLifetime is the longest time from a stream's begin until a caller takes it up; 0 if none can be taken up.
+	StreamLifetime time.Duration
+	// Builds are those that the object API lists: all that may have begun streams which can be taken up. Nil if unknown.
+	Builds   []namer.Build
+	Deadline time.Duration
 }
 
 // RankView is a rank with its latency targets and its guaranteed share of the service's capacity.
--- a/placer/check.go
+++ b/placer/check.go
@@ -46,6 +46,11 @@
 			return err
 		}
 	}
+	if m.Origins != nil {
+		if err := m.Origins.check(); err != nil {
+			return err
+		}
+	}
 	for _, notice := range m.limitNotices() {
 		if err := notice.check(); err != nil {
 			return err
@@ -79,6 +84,22 @@
 	return notices
 }
 
+func (o *Origins) check() error {
+	for i := range o.Known {
+		n := &o.Known[i]
+		if n.Stream == 0 || n.Build == "" {
+			return errors.Errorf("origin of stream %x has build %q, both must be set", n.Stream, n.Build)
+		}
+		if err := checkTime("age", n.Age); err != nil {
+			return err
+		}
+		if err := checkTime("time left", n.Left); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (n *LimitNotice) check() error {
 	if !throttler.ValidRate(float64(n.Rate)) {
 		return errors.Errorf("rate limit is %v, must be finite and not negative", n.Rate)
--- a/placer/core.go
+++ b/placer/core.go
@@ -14,6 +14,7 @@
 	"apricotspool/asserter"
 	"apricotspool/classifier"
 	"apricotspool/decider"
+	"apricotspool/historian"
 	"apricotspool/namer"
 	"apricotspool/throttler"
 )
@@ -41,6 +42,7 @@
 	lastReservation     ReservationID
 	lastSummaryAt       [scopes]namer.Seconds
 	quarantine          quarantine
+	originAsks          map[historian.StreamKey][]*request // that wait for the origin of their stream
 }
 
 // pool holds the endpoints of one service.
@@ -55,6 +57,8 @@
 	retryBudget    retryBudget
 	targets        targets
 	returns        returns
+	builds         historian.Builds
+	origins        historian.Origins
 }
 
 // request is a request that has not been refused, finished or cancelled.
@@ -100,6 +104,16 @@
 	proposed *endpoint
 	// replacement is the engine at which the request goes on after an attempt that the core has ended.
 	replacement *endpoint
+
+	attemptBuild namer.Build   // of the current attempt's endpoint when the attempt was sent
+	build        namer.Build   // that began the stream; empty before its first event
+	origin       *endpoint     // that wrote the first event in this response
+	originAt     namer.Seconds // when it arrived
+	originLost   bool          // the build of origin isn't certain any more
+
+	// Set while other daemons are asked for the stream's origin.
+	originAskedAt namer.Seconds
+	originAnswers int // that are missing
 }
 
 // stage is the state of a request.
@@ -122,6 +136,7 @@
 	c.pools = map[namer.Service]*pool{}
 	c.ledgers = map[namer.Endpoint]*ledger{}
 	c.pendingReservations = map[ReservationID]*request{}
+	c.originAsks = map[historian.StreamKey][]*request{}
 }
 
 func (c *Core) seconds(now time.Time) namer.Seconds { return namer.SecondsOf(now.Sub(c.epoch)) }
@@ -143,6 +158,10 @@
 		p := c.pools[s.Name]
 		p.plain, p.backups, p.tokensPerEvent = s.Plain, s.Backups, float64(s.EventTokens)
 		p.kvTransfer = namer.SecondsOf(s.KVTransfer)
+		p.builds.Lifetime, p.builds.Settling = namer.SecondsOf(s.StreamLifetime), namer.SecondsOf(fleet.Settling)
+		if s.Builds != nil {
+			p.builds.SetListed(s.Builds)
+		}
 	}
 	for _, view := range fleet.Endpoints {
 		p := c.pools[view.Service]
@@ -150,7 +169,10 @@
 			continue // not used by any route
 		}
 		e := old[view.Name]
-		if e == nil || e.view.Incarnation != view.Incarnation || e.view.Service != view.Service {
+		if e != nil && e.view.Build != view.Build && e.view.Service == view.Service {
+			c.forgetOrigins(c.seconds(now), p, e)
+		}
+		if e == nil || e.view.Incarnation != view.Incarnation || e.view.Service != view.Service || e.view.Build != view.Build {
 			e = &endpoint{share: throttler.Share{Phase: c.sharePhase(view.Name)}}
 			delete(c.ledgers, view.Name)
 		}
@@ -169,6 +191,7 @@
 			delete(c.ledgers, name)
 		}
 	}
+	c.observeBuilds(c.seconds(now))
 	for _, p := range c.pools {
 		p.orderDecodeEngines()
 		p.chooseExpress()
@@ -194,7 +217,9 @@
 	}
 	q.pool.retryBudget.recordRequest(at, c.Retries)
 	q.pool.recordTarget(at, q)
-	c.place(at, q)
+	if !q.Continues || c.findOrigin(at, q) {
+		c.place(at, q)
+	}
 	return c.actions
 }
 
@@ -214,8 +239,11 @@
 // have run the request.
 func (c *Core) refuse(now namer.Seconds, q *request, outcome classifier.Outcome, retryAfter time.Duration) {
 	asserter.Check(q.stage == waiting, "only requests without a current attempt are refused", "request %s", q.ID)
-	if q.mayHaveRun {
+	switch {
+	case q.mayHaveRun:
 		outcome = classifier.EndpointFailed
+	case q.build != "" && outcome == classifier.NoEndpoint && !q.buildServes():
+		outcome = classifier.BuildGone
 	}
 	c.actions = append(c.actions, decider.Action{
 		Kind: decider.ActionRefuse, Request: q.ID, Outcome: outcome,
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -87,7 +87,7 @@
 
 // open reports whether an endpoint may be asked to take a request now.
 func (c *Core) open(now namer.Seconds, q *request, e *endpoint) bool {
-	return e.usable(now, q.Idempotent) && !e.full(now, q) && e.fits(q)
+	return e.usable(now, q.Idempotent) && !e.full(now, q) && e.fits(q) && q.compatible(e) && c.mayBegin(now, q, e)
 }
 
 // recordDeclined records that an endpoint's ledger, or its rate limit, has no room for a request.
--- a/placer/message.go
+++ b/placer/message.go
@@ -1,6 +1,9 @@
 package placer
 
-import "apricotspool/namer"
+import (
+	"apricotspool/historian"
+	"apricotspool/namer"
+)
 
 // Messages between cores are encoded as CBOR arrays to omit the field names. New fields must be
 // appended.
@@ -16,6 +19,26 @@
 	Quarantine      *Quarantine
 	Limit           *LimitNotice
 	Charge          *LimitCharge
+	Origins         *Origins
+}
+
+// Origins tells or asks which builds began streams of a service.
+type Origins struct {
+	_       struct{} `cbor:",toarray"`
+	Service namer.Service
+	Known   []OriginNotice
+	// Asked is a stream whose origin the sender wants to know, Unknown one that was asked for and isn't known; 0 for none.
+	Asked, Unknown historian.StreamKey
+}
+
+// OriginNotice is what began a stream.
+type OriginNotice struct {
+	_        struct{} `cbor:",toarray"`
+	Stream   historian.StreamKey
+	Build    namer.Build
+	Endpoint namer.Endpoint // that wrote the first event; empty if only the build is known
+	Age      namer.Seconds  // of the first event
+	Left     namer.Seconds  // until no caller can take the stream up any more
 }
 
 // ReservationID identifies a reservation among those of one host.
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -76,6 +76,7 @@
 func (c *Core) recordStarted(now namer.Seconds, q *request) {
 	if q.stage == running && !q.started {
 		q.started, q.delivered = true, true
+		c.recordOrigin(now, q)
 		c.recordGenerating(now, q)
 		q.endpoint.recordPrefix(now, q.prefix(), true)
 		c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Prefilled})
@@ -226,6 +227,7 @@
 		delete(c.pendingReservations, reservation)
 		c.placeAgain(at, q)
 	}
+	c.expireOriginAsks(at)
 	c.broadcastLoads(at)
 	c.updateQuarantine(at)
 	return c.actions
--- /dev/null
+++ b/placer/origin_test.go
@@ -0,0 +1,374 @@
+package placer_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"apricotspool/classifier"
+	"apricotspool/decider"
+	"apricotspool/historian"
+	"apricotspool/namer"
+	"apricotspool/placer"
+)
+
+var (
+	originSeeds = flag.Uint64("origin-seeds", 12, "seeds of TestStreamsHaveOneBuild")
+	originFirst = flag.Uint64("origin-first", 1, "first seed of TestStreamsHaveOneBuild")
+)
+
+const (
+	originLifetime = 2 * time.Second
+	originSettling = 500 * time.Millisecond
+	// originStable is the time since its start after which a daemon's refusals count.
+	originStable = 3 * time.Second
+)
+
+// originWorld simulates daemons whose streams break off and are taken up, while builds come and go. Daemons learn of a
+// change within the settling time.
+type originWorld struct {
+	fleet // schedules events only
+	t     *testing.T
+
+	endpoints map[namer.Endpoint]*versionedEndpoint
+	daemons   []*originDaemon
+	listed    map[namer.Build]time.Duration // builds in the object API, and when an endpoint last had them
+	requests  map[namer.StreamID]*originRequest
+	streams   []*versionedStream
+	last      int
+
+	begun, takenUp, wentOn, joined int // takenUp and wentOn only where a take-up should go on
+}
+
+type versionedEndpoint struct {
+	view decider.EndpointView
+	down bool
+}
+
+type originDaemon struct {
+	name      namer.Host
+	core      *placer.Core
+	down      bool
+	starts    int
+	startedAt time.Duration
+}
+
+// versionedStream is a stream over all requests that continue it.
+type versionedStream struct {
+	key     historian.StreamKey
+	begunAt time.Duration
+	builds  []namer.Build // that wrote events
+	over    bool
+}
+
+type originRequest struct {
+	id       namer.StreamID
+	stream   *versionedStream
+	daemon   *originDaemon
+	tries    int
+	counts   bool // takes a stream up while that should be possible
+	started  bool
+	attempt  namer.Attempt
+	endpoint namer.Endpoint
+}
+
+func newOriginWorld(t *testing.T, seed uint64, daemons int) *originWorld {
+	w := &originWorld{t: t, endpoints: map[namer.Endpoint]*versionedEndpoint{}, listed: map[namer.Build]time.Duration{}, requests: map[namer.StreamID]*originRequest{}}
+	w.random = rand.New(rand.NewPCG(seed, 7))
+	for range 6 {
+		w.addEndpoint("v1")
+	}
+	for i := range daemons {
+		w.daemons = append(w.daemons, &originDaemon{name: namer.Host(fmt.Sprintf("h-%02d", i))})
+	}
+	for _, d := range w.daemons {
+		w.start(d)
+	}
+	return w
+}
+
+func (w *originWorld) addEndpoint(build namer.Build) {
+	w.last++
+	name := namer.Endpoint(fmt.Sprintf("e-%03d", w.last))
+	role := namer.RoleDecode
+	if w.last%4 == 0 {
+		role = namer.RolePrefill
+	}
+	w.endpoints[name] = &versionedEndpoint{view: decider.EndpointView{
+		Name: name, Service: service, DataCentre: "a", Role: role, Concurrency: 64, Build: build, Incarnation: namer.Incarnation(w.last),
+	}}
+}
+
+func (w *originWorld) view() decider.Fleet {
+	view := decider.Fleet{Settling: originSettling, Services: []decider.ServiceView{{
+		Name: service, Backups: true, EventTokens: eventTokens, StreamLifetime: originLifetime,
+	}}}
+	for build := range w.listed {
+		view.Services[0].Builds = append(view.Services[0].Builds, build)
+	}
+	for _, e := range w.endpoints {
+		view.Endpoints = append(view.Endpoints, e.view)
+	}
+	for _, d := range w.daemons {
+		view.Members = append(view.Members, decider.MemberView{Host: d.name, DataCentre: "a"})
+	}
+	return view
+}
+
+// publish tells the daemons of a change, each after a time of its own.
+func (w *originWorld) publish() {
+	for _, e := range w.endpoints {
+		w.listed[e.view.Build] = w.now
+	}
+	for build, at := range w.listed {
+		if w.now-at > originLifetime+originSettling {
+			delete(w.listed, build)
+		}
+	}
+	for _, d := range w.daemons {
+		w.after(time.Duration(w.random.Int64N(int64(originSettling))), func() {
+			if !d.down {
+				d.core.Configure(w.time(), w.view())
+			}
+		})
+	}
+}
+
+func (w *originWorld) start(d *originDaemon) {
+	d.down = false
+	d.starts++
+	d.startedAt = w.now
+	d.core = &placer.Core{
+		Self: d.name, Seed: w.random.Uint64(), Retries: placer.Retries{Ratio: 0.2, Slack: 500, Window: 10 * time.Second},
+	}
+	for _, e := range w.endpoints {
+		w.listed[e.view.Build] = w.now
+	}
+	d.core.Configure(w.time(), w.view())
+	w.tick(d, d.starts)
+}
+
+func (w *originWorld) tick(d *originDaemon, start int) {
+	if d.down || d.starts != start {
+		return
+	}
+	w.perform(d, d.core.Tick(w.time()))
+	w.after(10*time.Millisecond, func() { w.tick(d, start) })
+}
+
+func (w *originWorld) kill(d *originDaemon) {
+	if d.down {
+		return
+	}
+	d.down = true
+	for _, r := range w.requests {
+		if r.daemon == d {
+			delete(w.requests, r.id)
+			w.loseConnection(r)
+		}
+	}
+	w.after(time.Duration(50+w.random.IntN(800))*time.Millisecond, func() { w.start(d) })
+}
+
+// loseConnection makes the caller take up a stream that has broken off.
+func (w *originWorld) loseConnection(r *originRequest) {
+	if len(r.stream.builds) == 0 || r.tries >= 3 || w.now-r.stream.begunAt > originLifetime {
+		return
+	}
+	w.after(time.Duration(2+w.random.IntN(150))*time.Millisecond, func() { w.send(r.stream, r.tries+1) })
+}
+
+func (w *originWorld) send(s *versionedStream, tries int) {
+	d := w.daemons[w.random.IntN(len(w.daemons))]
+	if d.down || s.over {
+		return
+	}
+	w.last++
+	r := &originRequest{id: namer.StreamID(fmt.Sprint(w.last)), stream: s, daemon: d, tries: tries}
+	w.requests[r.id] = r
+	if r.counts = len(s.builds) > 0 && w.now-d.startedAt > originStable && w.serving(s.builds[0]) >= 2; r.counts {
+		w.takenUp++
+	}
+	w.perform(d, d.core.Arrive(w.time(), decider.Request{
+		ID: r.id, Service: service, Idempotent: true, PromptTokens: 2000, MaxTokens: 114, Deadline: w.time().Add(originLifetime),
+		Target: 300 * time.Millisecond, Attempts: 3, Stream: s.key, Continues: len(s.builds) > 0, Lifetime: originLifetime,
+		Priority: w.random.IntN(2),
+	}))
+}
+
+// serving returns the number of endpoints that can generate with a build.
+func (w *originWorld) serving(build namer.Build) int {
+	n := 0
+	for _, e := range w.endpoints {
+		if e.view.Build == build && e.view.Role != namer.RolePrefill && !e.down && !e.view.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *originWorld) observe(r *originRequest, e decider.Event) {
+	if w.requests[r.id] == r {
+		e.Request, e.Attempt, e.Endpoint = r.id, r.attempt, r.endpoint
+		w.perform(r.daemon, r.daemon.core.Observe(w.time(), e))
+	}
+}
+
+func (w *originWorld) perform(d *originDaemon, actions []decider.Action) {
+	for _, a := range slices.Clone(actions) {
+		switch a.Kind {
+		case decider.ActionSend:
+			message := a.Message.(placer.Message)
+			if err := message.Check(); err != nil {
+				w.t.Errorf("message would be refused: %v", err)
+			}
+			to := w.daemons[slices.IndexFunc(w.daemons, func(d *originDaemon) bool { return d.name == a.To })]
+			if w.random.IntN(100) > 0 {
+				w.after(networkDelay, func() {
+					if !to.down {
+						w.perform(to, to.core.Receive(w.time(), d.name, message))
+					}
+				})
+			}
+		case decider.ActionRefuse:
+			r := w.requests[a.Request]
+			delete(w.requests, a.Request)
+			w.loseConnection(r)
+		case decider.ActionDispatch, decider.ActionPrefill:
+			r := w.requests[a.Request]
+			r.attempt, r.endpoint, r.started = a.Attempt, a.Endpoint, false
+			w.after(time.Duration(2+w.random.IntN(30))*time.Millisecond, func() { w.arrive(r, a) })
+		}
+	}
+}
+
+// arrive handles an attempt that has reached its endpoint.
+func (w *originWorld) arrive(r *originRequest, a decider.Action) {
+	if w.requests[r.id] != r || r.attempt != a.Attempt || r.endpoint != a.Endpoint {
+		return
+	}
+	e := w.endpoints[a.Endpoint]
+	switch {
+	case e == nil || e.down:
+		w.observe(r, decider.Event{Kind: decider.EventFailed, Reason: classifier.RetryConnectFailed, NotRun: true})
+	case a.Kind == decider.ActionPrefill:
+		w.observe(r, decider.Event{Kind: decider.EventPrefilled})
+	default:
+		r.started = true
+		if len(r.stream.builds) == 0 {
+			w.begun++
+		} else if r.counts {
+			w.wentOn++
+			r.counts = false
+		}
+		if r.stream.builds = append(r.stream.builds, e.view.Build); r.stream.builds[0] != e.view.Build {
+			w.joined++
+		}
+		w.observe(r, decider.Event{Kind: decider.EventStarted})
+		w.after(time.Duration(20+w.random.IntN(900))*time.Millisecond, func() {
+			if w.requests[r.id] == r && r.attempt == a.Attempt && r.endpoint == a.Endpoint {
+				r.stream.over = true
+				w.observe(r, decider.Event{Kind: decider.EventFinished, OutputTokens: 2})
+				delete(w.requests, r.id)
+			}
+		})
+	}
+}
+
+// crash ends an endpoint and the streams at it.
+func (w *originWorld) crash(name namer.Endpoint) {
+	e := w.endpoints[name]
+	if e.down {
+		return
+	}
+	e.down = true
+	for _, r := range w.requests {
+		if r.endpoint == name && r.started && !r.daemon.down {
+			w.after(networkDelay, func() {
+				if r.endpoint == name {
+					w.observe(r, decider.Event{Kind: decider.EventFailed, Reason: classifier.RetryStreamBroken, OutputTokens: 1})
+				}
+			})
+		}
+	}
+	w.after(time.Duration(200+w.random.IntN(1500))*time.Millisecond, func() {
+		delete(w.endpoints, name)
+		w.addEndpoint(e.view.Build) // back under another name
+		w.publish()
+	})
+}
+
+func (w *originWorld) someEndpoint() namer.Endpoint {
+	names := make([]namer.Endpoint, 0, len(w.endpoints))
+	for name := range w.endpoints {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names[w.random.IntN(len(names))]
+}
+
+// release replaces an endpoint by one of another build.
+func (w *originWorld) release(build namer.Build) {
+	old := w.someEndpoint()
+	w.addEndpoint(build)
+	w.publish()
+	w.after(time.Duration(w.random.IntN(1000))*time.Millisecond, func() {
+		if e := w.endpoints[old]; e != nil && !e.down {
+			e.view.Leaving = true
+			w.publish()
+			w.after(originSettling+originLifetime, func() {
+				delete(w.endpoints, old)
+				w.publish()
+			})
+		}
+	})
+}
+
+// Guards against streams that are joined from two builds, over releases, crashes, killed daemons, lost messages and callers
+// that take streams up at other daemons, several times; and against refusing most of these (LOST).
+func TestStreamsHaveOneBuild(t *testing.T) {
+	is := is.New(t)
+	takenUp, wentOn, begun, sent := 0, 0, 0, 0
+	for seed := *originFirst; seed < *originFirst+*originSeeds; seed++ {
+		w := newOriginWorld(t, seed, 8)
+		builds := []namer.Build{"v1", "v2", "v1.1", "v3"}
+		for at := 3 * time.Second; at < 16*time.Second; at += time.Duration(100+w.random.IntN(900)) * time.Millisecond {
+			w.after(at, func() {
+				switch n := w.random.IntN(10); {
+				case n < 4:
+					w.release(builds[w.random.IntN(1+int(w.now/(4*time.Second)))])
+				case n < 7:
+					w.crash(w.someEndpoint())
+				case n < 9:
+					w.kill(w.daemons[w.random.IntN(len(w.daemons))])
+				case w.random.IntN(3) == 0:
+					for _, d := range w.daemons {
+						w.kill(d)
+					}
+				}
+			})
+		}
+		for at := 3 * time.Second; at < 17*time.Second; at += 8 * time.Millisecond {
+			w.after(at, func() {
+				w.last++
+				sent++
+				s := &versionedStream{key: historian.StreamKey(w.random.Uint64() | 1), begunAt: w.now}
+				w.streams = append(w.streams, s)
+				w.send(s, 0)
+			})
+		}
+		w.run(20 * time.Second)
+		if w.joined > 0 {
+			t.Errorf("seed %d: %d streams were joined, of %d that were taken up", seed, w.joined, w.takenUp)
+		}
+		takenUp, wentOn, begun = takenUp+w.takenUp, wentOn+w.wentOn, begun+w.begun
+	}
+	t.Logf("%d of %d take-ups went on, %d of %d streams began", wentOn, takenUp, begun, sent)
+	is.True(takenUp > 100)
+	is.True(2*wentOn*sent >= takenUp*begun) // LOST: half of the share of new streams
+}
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -128,6 +128,8 @@
 		if e := c.endpoints[message.Charge.Limit.Endpoint]; e != nil {
 			e.bucket.Charge(at, e.limit.Statement())
 		}
+	case message.Origins != nil:
+		c.receiveOrigins(at, from, message.Origins)
 	case message.Quarantine != nil:
 		c.receiveQuarantine(at, from, message.Quarantine)
 	default:
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -96,7 +96,7 @@
 			continue
 		}
 		if e.view.Role == namer.RolePrefill {
-			if q.deliveredTokens > 0 || q.skipPrefill || decodeLimited {
+			if q.deliveredTokens > 0 || q.skipPrefill || decodeLimited || (q.build != "" && !q.buildServes()) {
 				continue // a stream resumes on a decode engine
 			}
 			first += q.pool.transferTime(float64(q.PromptTokens))
--- a/placer/place.go
+++ b/placer/place.go
@@ -203,7 +203,7 @@
 		c.reportProgress(now, e, q.reservation, ProgressUpdate{Progress: Placed, Work: q.work(now, found)})
 	}
 	q.attempt++
-	q.endpoint, q.started, q.unresponsive = e, false, false
+	q.endpoint, q.started, q.unresponsive, q.attemptBuild = e, false, false, e.view.Build
 	q.suspicion.dispatched(now)
 	if q.received || (found.prefill && q.prefillAttempted) {
 		c.chargeRetry(now, q)
@@ -284,7 +284,7 @@
 	work := q.work(now, choice{})
 	work.Tokens, work.PrefixTokens = 0, 0 // the prompt has been processed by a prefill engine
 	c.reportProgress(now, e, q.reservation, ProgressUpdate{Progress: Placed, Work: work})
-	q.stage, q.endpoint, q.started, q.unresponsive = running, e, false, false
+	q.stage, q.endpoint, q.started, q.unresponsive, q.attemptBuild = running, e, false, false, e.view.Build
 	q.suspicion.dispatched(now)
 	e.running++
 	e.health.recordSent()
--- a/placer/streams.go
+++ b/placer/streams.go
@@ -38,7 +38,8 @@
 func (c *Core) pickBackup(now namer.Seconds, q *request) *endpoint {
 	var least lowestScore
 	for _, e := range q.pool.endpoints {
-		if e.view.Role == namer.RolePrefill || e == q.endpoint || !e.usable(now, true) || q.hasTried(e) {
+		if e.view.Role == namer.RolePrefill || e == q.endpoint || !e.usable(now, true) || q.hasTried(e) ||
+			e.view.Build != q.endpoint.view.Build {
 			continue
 		}
 		least.consider(e, namer.Seconds(e.streams(now))+namer.Seconds(e.streamOrder)/namer.Seconds(len(q.pool.endpoints)))
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -92,7 +92,7 @@
 
 // backupUsable reports whether an engine with a copy of the request's KV cache can continue the response.
 func (c *Core) backupUsable(now namer.Seconds, q *request, backup *endpoint) bool {
-	return backup != nil && backup.usable(now, true) && !q.hasTried(backup) && c.endpoints[backup.view.Name] == backup
+	return backup != nil && backup.usable(now, true) && q.compatible(backup) && !q.hasTried(backup) && c.endpoints[backup.view.Name] == backup
 }
 
 // chargeBeforehand charges the retry budget for the attempt that follows the current one. Many requests fail
@@ -104,9 +104,9 @@
 	}
 }
 
-// mustContinue reports whether a refusal would end a response that has begun, or an attempt that this daemon has
-// abandoned because another one would follow.
-func (q *request) mustContinue() bool { return q.delivered || q.abandoned > 0 }
+// mustContinue reports whether a refusal would end a stream that has begun, here or at another daemon, or an attempt that
+// this daemon has abandoned because another one would follow.
+func (q *request) mustContinue() bool { return q.delivered || q.Continues || q.abandoned > 0 }
 
 // refuseUnlessBegun refuses a request that no engine takes within its target. A response that must continue does so
 // at the engine with the shortest queue, without a reservation.
@@ -145,7 +145,7 @@
 	var least lowestScore
 	for _, e := range q.pool.endpoints {
 		usable := (e.usable(now, true) && !e.full(now, q)) || (ejected && e.accepts(now))
-		if e.view.Role == namer.RolePrefill || !usable || e == q.endpoint || q.hasTried(e) {
+		if e.view.Role == namer.RolePrefill || !usable || e == q.endpoint || q.hasTried(e) || !q.compatible(e) || !c.mayBegin(now, q, e) {
 			continue
 		}
 		score := e.queueDelay(now, q.class())
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"apricotspool/asserter"
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
+	"apricotspool/historian"
 	"apricotspool/matcher"
 	"apricotspool/namer"
 )
@@ -71,7 +73,13 @@
 		x.refuse(classifier.NotFound, 0)
 		return false
 	}
-	service, found := pickService(route, rand.IntN)
+	random := rand.IntN
+	key := x.streamID()
+	if route.Kind == matcher.Stream && route.Resumable && key != "" {
+		// All daemons choose the same service for a stream, so that it goes on there.
+		random = func(n int) int { return int(xxhash.Sum64String(key) % uint64(n)) }
+	}
+	service, found := pickService(route, random)
 	if !found {
 		x.refuse(classifier.NoEndpoint, defaultRetryAfter)
 		return false
@@ -130,6 +138,7 @@
 		PromptTokens: x.call.Prompt, MaxTokens: x.expectedOutput(), Deadline: x.deadline, Target: x.route.Target, TargetGap: x.route.TargetGap,
 		Priority: x.route.Priority, Parts: x.call.Parts, Attempts: x.route.Attempts, Patience: patience,
 		Fingerprint: x.fingerprint,
+		Stream:      x.streamKey(), Continues: x.continues(), Lifetime: max(x.route.Timeout, x.call.Timeout),
 	})
 	if err != nil {
 		x.refuse(classifier.Draining, defaultRetryAfter)
@@ -151,6 +160,26 @@
 	}
 }
 
+// continues reports whether the caller takes up a stream that has begun.
+func (x *exchange) continues() bool { return x.route.Kind == matcher.Stream && x.call.LastEvent != "" }
+
+// streamID returns the id of the request that began the stream, or that may begin it; empty if the caller doesn't give it.
+func (x *exchange) streamID() string {
+	if x.call.LastEvent != "" {
+		return x.call.Resumes
+	}
+	return x.call.ID
+}
+
+// streamKey returns the key of the stream, the same at all daemons; 0 if callers can't take it up.
+func (x *exchange) streamKey() historian.StreamKey {
+	id := x.streamID()
+	if x.route.Kind != matcher.Stream || !x.route.Resumable || id == "" {
+		return 0
+	}
+	return historian.StreamKey(max(1, xxhash.Sum64String(id)))
+}
+
 func (x *exchange) expectedOutput() namer.Tokens {
 	if x.call.ExpectedOutput > 0 {
 		return x.call.ExpectedOutput
