placer: Answer questions about a stream's origin in a form that can be decoded

Cause: an answer named no endpoint, and an empty name can't be decoded, so that each positive answer was dropped. The simulation passed messages on without encoding them, and the test with gateways asked for half of the take-ups only.

Change: an answer has the build alone. The simulation encodes and decodes each message; the test has seven gateways and wants each take-up in calm to go on.

--- a/assembler/gateway_builds_test.go
+++ b/assembler/gateway_builds_test.go
@@ -137,6 +137,8 @@
 	body, err := io.ReadAll(response.Body)
 	if response.StatusCode == http.StatusOK && err == nil {
 		taken.text += string(body)
+	} else {
+		s.t.Logf("take-up of %s at %s: %d %s", resumes, g, response.StatusCode, body)
 	}
 	return response.StatusCode
 }
@@ -147,8 +149,10 @@
 	is := is.New(t)
 	s := newVersionedSite(t, "v1", "v1", "v2", "v2")
 	var gateways []*gateway
-	for _, name := range []string{"g-0", "g-1", "g-2", "g-3", "g-4"} {
-		gateways = append(gateways, s.startGateway(s.newSettings(name)))
+	for _, name := range []string{"g-0", "g-1", "g-2", "g-3", "g-4", "g-5", "g-6"} {
+		settings := s.newSettings(name)
+		settings.Retries.Slack = 1000 // for the servers that reject
+		gateways = append(gateways, s.startGateway(settings))
 	}
 	for _, g := range gateways {
 		eventually(t, "the gateway is ready", g.ready)
@@ -162,7 +166,7 @@
 		for j, server := range s.servers { // one of each version takes no new streams
 			server.SetRejecting(j%2 == i%2)
 		}
-		taken, err := s.begin(gateways[i%5].settings.Callers.String())
+		taken, err := s.begin(gateways[i%7].settings.Callers.String())
 		if err != nil {
 			continue
 		}
@@ -170,7 +174,7 @@
 		for j, server := range s.servers { // the other one of each version has to take it up
 			server.SetRejecting(j%2 != i%2)
 		}
-		if s.takeUp(taken, gateways[(i+1)%5].settings.Callers.String(), taken.id) == http.StatusOK {
+		if s.takeUp(taken, gateways[(i+1)%7].settings.Callers.String(), taken.id) == http.StatusOK {
 			wentOn++
 		}
 		if len(s.writers(taken.text)) > 1 {
@@ -179,7 +183,7 @@
 	}
 	is.True(begun >= 30)
 	is.Equal(joined, 0)
-	is.True(2*wentOn >= begun) // LOST
+	is.Equal(wentOn, begun) // in calm, each one's origin is known
 	for _, server := range s.servers {
 		server.SetRejecting(false)
 	}
--- a/placer/check.go
+++ b/placer/check.go
@@ -87,8 +87,8 @@
 func (o *Origins) check() error {
 	for i := range o.Known {
 		n := &o.Known[i]
-		if n.Stream == 0 || n.Build == "" {
-			return errors.Errorf("origin of stream %x has build %q, both must be set", n.Stream, n.Build)
+		if n.Stream == 0 || n.Build == "" || n.Endpoint == "" {
+			return errors.Errorf("origin of stream %x has build %q and endpoint %q, all must be set", n.Stream, n.Build, n.Endpoint)
 		}
 		if err := checkTime("age", n.Age); err != nil {
 			return err
--- a/placer/message.go
+++ b/placer/message.go
@@ -27,8 +27,9 @@
 	_       struct{} `cbor:",toarray"`
 	Service namer.Service
 	Known   []OriginNotice
-	// Asked is a stream whose origin the sender wants to know, Unknown one that was asked for and isn't known; 0 for none.
-	Asked, Unknown historian.StreamKey
+	// Asked is a stream whose build the sender wants to know, Answered one that was asked for; 0 for none.
+	Asked, Answered historian.StreamKey
+	Build           namer.Build // of Answered; empty if the sender doesn't know it
 }
 
 // OriginNotice is what began a stream.
@@ -36,7 +37,7 @@
 	_        struct{} `cbor:",toarray"`
 	Stream   historian.StreamKey
 	Build    namer.Build
-	Endpoint namer.Endpoint // that wrote the first event; empty if only the build is known
+	Endpoint namer.Endpoint // that wrote the first event
 	Age      namer.Seconds  // of the first event
 	Left     namer.Seconds  // until no caller can take the stream up any more
 }
--- a/placer/origin.go
+++ b/placer/origin.go
@@ -178,15 +178,15 @@
 		c.answerAsks(now, n.Stream, n.Build)
 	}
 	if m.Asked != 0 {
-		answer := &Origins{Service: m.Service, Unknown: m.Asked}
-		if build, known := p.buildOf(now, m.Asked); known {
-			answer.Unknown = 0
-			answer.Known = []OriginNotice{{Stream: m.Asked, Build: build, Left: p.builds.Lifetime}}
-		}
-		c.send(from, Message{Origins: answer})
-	}
-	if m.Unknown != 0 {
-		c.countUnknown(now, m.Unknown)
+		build, _ := p.buildOf(now, m.Asked)
+		c.send(from, Message{Origins: &Origins{Service: m.Service, Answered: m.Asked, Build: build}})
+	}
+	switch {
+	case m.Answered == 0:
+	case m.Build == "":
+		c.countUnknown(now, m.Answered)
+	default:
+		c.answerAsks(now, m.Answered, m.Build)
 	}
 }
 
--- a/placer/origin_test.go
+++ b/placer/origin_test.go
@@ -13,6 +13,7 @@
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/historian"
+	"apricotspool/messenger"
 	"apricotspool/namer"
 	"apricotspool/placer"
 )
@@ -92,6 +93,23 @@
 	return w
 }
 
+// transmit encodes and decodes a message, as on its way to another daemon.
+func (w *originWorld) transmit(message placer.Message) placer.Message {
+	w.t.Helper()
+	data, err := messenger.Marshal(message)
+	if err != nil {
+		w.t.Fatalf("encode %+v: %v", message, err)
+	}
+	var received placer.Message
+	if err := messenger.Unmarshal(data, &received); err != nil {
+		w.t.Fatalf("decode %+v: %v", message, err)
+	}
+	if err := received.Check(); err != nil {
+		w.t.Fatalf("message would be refused: %v", err)
+	}
+	return received
+}
+
 func (w *originWorld) addEndpoint(build namer.Build) {
 	w.last++
 	name := namer.Endpoint(fmt.Sprintf("e-%03d", w.last))
@@ -224,9 +242,7 @@
 		switch a.Kind {
 		case decider.ActionSend:
 			message := a.Message.(placer.Message)
-			if err := message.Check(); err != nil {
-				w.t.Errorf("message would be refused: %v", err)
-			}
+			message = w.transmit(message)
 			to := w.daemons[slices.IndexFunc(w.daemons, func(d *originDaemon) bool { return d.name == a.To })]
 			if w.random.IntN(100) > 0 {
 				w.after(networkDelay, func() {
