placer, historian: Begin streams at a new version sooner, and read no prompt for a version without a free engine

Cause: a new version began resumable streams only 2 s after its first sight; old servers leave after 1 s, so that few engines were left meanwhile. And prompts of streams that are taken up were processed although no engine of their version could generate (300 ms, then 503).

Now a version begins streams after half of the staleness bound: the store is read again after two fifths of it while it answers. A prompt is processed apart only if an engine of the version may be asked to generate.

--- a/historian/builds.go
+++ b/historian/builds.go
@@ -14,7 +14,7 @@
 type Builds struct {
 	// Lifetime is the longest time from a stream's begin until a caller takes it up; 0 if none can be taken up.
 	Lifetime namer.Seconds
-	// Settling is the time within which all daemons learn of a new build.
+	// Settling bounds the time within which all daemons learn of a new build, whatever fails.
 	Settling namer.Seconds
 
 	watching bool
@@ -91,10 +91,14 @@
 	return b.watching && now-b.since > b.Lifetime+b.Settling
 }
 
-// MayBegin reports whether a build may begin streams: it is listed, and all daemons know that it serves.
+// beginFraction is the part of Settling after which all daemons know a new build while they reach the object API: they read
+// it again after two fifths.
+const beginFraction = 0.5
+
+// MayBegin reports whether a build may begin streams: it is listed, and the daemons know that it serves.
 func (b *Builds) MayBegin(now namer.Seconds, build namer.Build) bool {
 	s := b.seen[build]
-	return b.Lifetime <= 0 || (s != nil && b.listed[build] && (s.initial || now-s.first >= b.Settling))
+	return b.Lifetime <= 0 || (s != nil && b.listed[build] && (s.initial || now-s.first >= beginFraction*b.Settling))
 }
 
 // Settled reports whether all builds that serve may begin streams.
--- a/placer/origin.go
+++ b/placer/origin.go
@@ -41,6 +41,11 @@
 	})
 }
 
+// buildOpen reports whether an engine of the build of the request's stream may be asked to generate now.
+func (c *Core) buildOpen(now namer.Seconds, q *request) bool {
+	return slices.ContainsFunc(q.pool.endpoints, func(e *endpoint) bool { return e.view.Role != namer.RolePrefill && c.open(now, q, e) })
+}
+
 // buildServes reports whether any endpoint that can generate has the build of the request's stream.
 func (q *request) buildServes() bool {
 	return slices.ContainsFunc(q.pool.endpoints, func(e *endpoint) bool { return e.view.Role != namer.RolePrefill && q.compatible(e) })
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -85,7 +85,8 @@
 	target, longest := namer.SecondsOf(q.Target), q.pool.longestExpress(now, q)
 	ownTokens := max(1, float64(q.PromptTokens)-q.prefixTokens()+q.deliveredTokens)
 	var onTime, late lowestScore
-	decodeLimited := c.rateLimited(now, q, true)
+	// Prompts are processed apart only for an engine that can generate then.
+	decodeUnavailable := c.rateLimited(now, q, true) || (q.build != "" && !c.buildOpen(now, q))
 	for _, e := range q.pool.endpoints {
 		if !c.open(now, q, e) || q.hasTried(e) || contains(q.declined, e) {
 			continue
@@ -96,7 +97,7 @@
 			continue
 		}
 		if e.view.Role == namer.RolePrefill {
-			if q.deliveredTokens > 0 || q.skipPrefill || decodeLimited || (q.build != "" && !q.buildServes()) {
+			if q.deliveredTokens > 0 || q.skipPrefill || decodeUnavailable {
 				continue // a stream resumes on a decode engine
 			}
 			first += q.pool.transferTime(float64(q.PromptTokens))
