relayer, assembler: Take only what can end in a planned stop, and answer what can't

Cause: until the load balancer has noticed, and on open connections for longer, requests were taken whatever time they were given; at the end of the drain all connections were closed. A grace shorter than the notice left no time at all.

Change: a request that might not end before the drain does is refused at once (503 draining, nothing ran, Retry-After 0.02 s), but for repeatable ones within the notice. At the end of the drain what still runs is answered 502, or 503 if no attempt was made. The notice takes half of the drain at most.

--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -134,8 +134,12 @@
 	}
 }
 
-// exitMargin is the part of the drain limit reserved for the exit of the process.
-const exitMargin = 500 * time.Millisecond
+const (
+	// exitMargin is the part of the drain limit reserved for the exit of the process.
+	exitMargin = 500 * time.Millisecond
+	// answerMargin is the time for the answers of requests that are ended.
+	answerMargin = 250 * time.Millisecond
+)
 
 // shutDown reports the gateway as not ready, keeps accepting requests until the load balancer has noticed
 // and finishes all accepted requests within the drain limit.
@@ -143,10 +147,16 @@
 	start := time.Now()
 	g.Log.Events.Info().Int("requests", g.relayer.InFlight()).Msg("drain-started")
 	g.draining.Store(true)
-	g.relayer.SetDraining()
+	limit := start.Add(g.Settings.Drain.Limit.Std() - exitMargin)
+	end := limit.Add(-answerMargin)
+	// Half of a short time is left to finish what has been accepted.
+	notice := start.Add(min(g.Settings.Drain.Notice.Std(), end.Sub(start)/2))
+	g.relayer.Drain(notice, end)
 	go g.announcer.Deregister()
-	time.Sleep(g.Settings.Drain.Notice.Std())
-	drainCtx, cancel := context.WithDeadline(context.Background(), start.Add(g.Settings.Drain.Limit.Std()-exitMargin))
+	time.Sleep(time.Until(notice))
+	ending := time.AfterFunc(time.Until(end), g.relayer.End)
+	defer ending.Stop()
+	drainCtx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	if err := callers.Shutdown(drainCtx); err != nil {
 		g.Log.Events.Error().Int("requests", g.relayer.InFlight()).Msg("drain-limit-passed")
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -136,7 +136,7 @@
 	if ctx.Err() == nil || abandoned(ctx) != "" {
 		return false
 	}
-	x.endWithoutAttempt(outcomeForContext(ctx), 0)
+	x.endWithoutAttempt(x.outcomeForContext(ctx), 0)
 	return true
 }
 
@@ -264,7 +264,7 @@
 	if _, set := header["Content-Type"]; !set {
 		header["Content-Type"] = nil // disables content sniffing by net/http
 	}
-	if x.relayer.draining.Load() {
+	if x.relayer.draining.Load() != nil {
 		header.Set("Connection", "close")
 	}
 	x.headerSent = true
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -127,8 +127,14 @@
 
 // serve submits the request to the decision core and carries out its decisions.
 func (x *exchange) serve() {
+	if !x.endsInTime() {
+		x.refuse(classifier.Draining, drainRetryAfter)
+		return
+	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	x.relayer.initEnding()
+	defer context.AfterFunc(x.relayer.ending, cancel)()
 	patience := time.Duration(0)
 	if x.route.Kind == matcher.Stream {
 		patience = x.relayer.Dialect.Patience(x.route.Target, x.route.TargetGap)
@@ -208,7 +214,7 @@
 			x.ticketClosed = true
 			return decider.Action{}, classifier.Draining
 		case <-ctx.Done():
-			return decider.Action{}, outcomeForContext(ctx)
+			return decider.Action{}, x.outcomeForContext(ctx)
 		}
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -40,13 +40,14 @@
 	activity  activityTracker
 	latencies latencyTracker
 	reports   reportCache
-	draining  atomic.Bool
+	draining  atomic.Pointer[drain]
 	inFlight  atomic.Int64
 	active    sync.WaitGroup
-}
 
-// SetDraining makes responses carry "Connection: close", so that callers reconnect elsewhere.
-func (r *Relayer) SetDraining() { r.draining.Store(true) }
+	endingOnce sync.Once
+	ending     context.Context // done when requests in flight have to end
+	stop       context.CancelFunc
+}
 
 // InFlight returns the number of requests in flight.
 func (r *Relayer) InFlight() int { return int(r.inFlight.Load()) }
@@ -74,7 +75,7 @@
 		r.inFlight.Add(-1)
 		r.active.Done()
 	}()
-	if r.draining.Load() {
+	if r.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{relayer: r, w: w, r: request, startTime: time.Now(), call: r.Dialect.Decode(request.Header)}
@@ -107,9 +108,12 @@
 }
 
 // outcomeForContext returns the outcome of a request that ends because its context is done.
-func outcomeForContext(ctx context.Context) classifier.Outcome {
-	if ctx.Err() == context.DeadlineExceeded {
+func (x *exchange) outcomeForContext(ctx context.Context) classifier.Outcome {
+	switch {
+	case ctx.Err() == context.DeadlineExceeded:
 		return classifier.DeadlineExceeded
+	case x.r.Context().Err() == nil && x.relayer.ending.Err() != nil:
+		return classifier.Draining
 	}
 	return classifier.CallerDisconnected
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -189,7 +189,7 @@
 	is := is.New(t)
 	f := newFixture(t, dispatchTo("a")...)
 	f.endpoint("a", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "good") })
-	f.relayer.SetDraining()
+	f.relayer.Drain(time.Now().Add(time.Second), time.Now().Add(time.Hour))
 	r, err := http.NewRequest("GET", f.server.URL+"/safe/", nil)
 	is.NoErr(err)
 	r.Host = "h"
