placer: Tell of the streams that began before a second version, and keep asks of services apart

Found by reading the change: when a second version appears, the messages about streams in progress were put into a list that the next call empties, so that nobody got them: a stream of the time with one version was unknown elsewhere once its daemon was killed. A stream's key at one service could answer for the same key at another; a failed query of the core ended the component that keeps streams.

TestStreamsBeforeSecondBuildStayKnown fails without the messages, TestRestartWithAnotherBuildMakesOriginsUncertain (new, for servers that start again under their id) if what such a server began is not forgotten.

--- a/archivist/streams.go
+++ b/archivist/streams.go
@@ -79,10 +79,10 @@
 		case <-time.After(s.Period()):
 		}
 		begun, err := s.InProgress(ctx)
-		if err != nil {
-			return err
+		if err == nil {
+			err = s.write(ctx, begun)
 		}
-		if err := s.write(ctx, begun); err != nil && ctx.Err() == nil {
+		if err != nil && ctx.Err() == nil {
 			s.Log.Warn().Err(err).Msg("streams-not-kept")
 			s.version = 0 // read before the next write
 		}
--- a/placer/core.go
+++ b/placer/core.go
@@ -44,7 +44,8 @@
 	lastReservation     ReservationID
 	lastSummaryAt       [scopes]namer.Seconds
 	quarantine          quarantine
-	originAsks          map[historian.StreamKey][]*request // that wait for the origin of their stream
+	originAsks          map[originAsk][]*request // that wait for the origin of their stream
+	learned             bool
 }
 
 // pool holds the endpoints of one service.
@@ -61,6 +62,7 @@
 	returns        returns
 	builds         historian.Builds
 	origins        historian.Origins
+	originsUntold  bool // a second build has appeared
 }
 
 // request is a request that has not been refused, finished or cancelled.
@@ -138,7 +140,7 @@
 	c.pools = map[namer.Service]*pool{}
 	c.ledgers = map[namer.Endpoint]*ledger{}
 	c.pendingReservations = map[ReservationID]*request{}
-	c.originAsks = map[historian.StreamKey][]*request{}
+	c.originAsks = map[originAsk][]*request{}
 }
 
 func (c *Core) seconds(now time.Time) namer.Seconds { return namer.SecondsOf(now.Sub(c.epoch)) }
--- a/placer/origin.go
+++ b/placer/origin.go
@@ -25,10 +25,22 @@
 	learnTimeout namer.Seconds = 0.5
 	// minKeptAge is the age from which a stream is kept in the object API.
 	minKeptAge namer.Seconds = 0.2
+	// restartDoubt is the time, in multiples of the staleness bound, for which an endpoint may have run under its old entry
+	// after a restart: until it writes the next one, and that arrives.
+	restartDoubt = 2
 	// maxOriginsPerMessage keeps messages within one datagram.
 	maxOriginsPerMessage = 20
 )
 
+// originAsk is a stream whose origin other daemons have been asked for.
+type originAsk struct {
+	service namer.Service
+	stream  historian.StreamKey
+}
+
+// learning reports whether the streams of earlier processes are still being read.
+func (c *Core) learning() bool { return c.Learning && !c.learned }
+
 // compatible reports whether the request may go on at an endpoint, after the events that the caller has received. Prefill
 // engines write none.
 func (q *request) compatible(e *endpoint) bool {
@@ -57,8 +69,7 @@
 	return slices.ContainsFunc(q.pool.endpoints, func(e *endpoint) bool { return e.view.Role != namer.RolePrefill && q.compatible(e) })
 }
 
-// observeBuilds updates the builds that serve the pools, and tells other daemons of the streams in progress when a second
-// build appears.
+// observeBuilds updates the builds that serve the pools.
 func (c *Core) observeBuilds(now namer.Seconds) {
 	for _, p := range c.pools {
 		present := map[namer.Build]bool{}
@@ -67,7 +78,16 @@
 		}
 		_, only := p.builds.Only(now)
 		p.builds.Observe(now, present)
-		if _, still := p.builds.Only(now); only && !still {
+		_, still := p.builds.Only(now)
+		p.originsUntold = p.originsUntold || (only && !still)
+	}
+}
+
+// tellOrigins tells the other daemons of the streams that have begun before a second build appeared.
+func (c *Core) tellOrigins(now namer.Seconds) {
+	for _, p := range c.pools {
+		if p.originsUntold {
+			p.originsUntold = false
 			c.tellAllOrigins(now, p)
 		}
 	}
@@ -76,7 +96,7 @@
 // forgetOrigins forgets what began streams at an endpoint that has restarted with another build under its name. Whether the
 // old or the new process wrote the events since its restart is not known.
 func (c *Core) forgetOrigins(now namer.Seconds, p *pool, old *endpoint) {
-	since := now - 2*max(p.builds.Settling, namer.Seconds(1))
+	since := now - restartDoubt*p.builds.Settling
 	p.origins.Forget(old.view.Name, since)
 	for _, q := range c.requests {
 		if q.origin == old && q.originAt >= since {
@@ -163,7 +183,7 @@
 func (c *Core) LearnStreams(now time.Time, begun map[namer.Service]map[namer.Build][]historian.StreamKey) []decider.Action {
 	c.ensureInit(now)
 	c.actions = c.actions[:0]
-	c.Learning = false
+	c.learned = true
 	at := c.seconds(now)
 	for service, builds := range begun {
 		p := c.pools[service]
@@ -173,7 +193,7 @@
 		for build, keys := range builds {
 			for _, key := range keys {
 				p.origins.Record(at, key, historian.Origin{Build: build, At: at, Until: at + p.builds.Lifetime})
-				c.answerAsks(at, key, build)
+				c.answerAsks(at, originAsk{service, key}, build)
 			}
 		}
 	}
@@ -208,12 +228,13 @@
 		return true
 	}
 	holders := c.originHolders(q.Stream)
-	if q.Stream == 0 || (len(holders) == 0 && !c.Learning) {
+	if q.Stream == 0 || (len(holders) == 0 && !c.learning()) {
 		c.refuse(now, q, classifier.StreamUnknown, noEndpointRetry)
 		return false
 	}
 	q.originAskedAt, q.originAnswers = now, len(holders)
-	c.originAsks[q.Stream] = append(c.originAsks[q.Stream], q)
+	ask := originAsk{q.Service, q.Stream}
+	c.originAsks[ask] = append(c.originAsks[ask], q)
 	for _, m := range holders {
 		c.send(m.Host, Message{Origins: &Origins{Service: q.Service, Asked: q.Stream}})
 	}
@@ -236,7 +257,7 @@
 	}
 	for _, n := range m.Known {
 		p.origins.Record(now, n.Stream, historian.Origin{Build: n.Build, Endpoint: n.Endpoint, At: now - n.Age, Until: now + n.Left})
-		c.answerAsks(now, n.Stream, n.Build)
+		c.answerAsks(now, originAsk{m.Service, n.Stream}, n.Build)
 	}
 	if m.Asked != 0 {
 		build, _ := p.buildOf(now, m.Asked)
@@ -245,16 +266,16 @@
 	switch {
 	case m.Answered == 0:
 	case m.Build == "":
-		c.countUnknown(now, m.Answered)
+		c.countUnknown(now, originAsk{m.Service, m.Answered})
 	default:
-		c.answerAsks(now, m.Answered, m.Build)
+		c.answerAsks(now, originAsk{m.Service, m.Answered}, m.Build)
 	}
 }
 
 // answerAsks places the requests that wait for the origin of a stream.
-func (c *Core) answerAsks(now namer.Seconds, key historian.StreamKey, build namer.Build) {
-	waiting := c.originAsks[key]
-	delete(c.originAsks, key)
+func (c *Core) answerAsks(now namer.Seconds, ask originAsk, build namer.Build) {
+	waiting := c.originAsks[ask]
+	delete(c.originAsks, ask)
 	for _, q := range waiting {
 		if c.requests[q.ID] == q {
 			q.build, q.originAskedAt = build, 0
@@ -264,35 +285,35 @@
 }
 
 // countUnknown refuses the requests of a stream that none of the daemons asked knows.
-func (c *Core) countUnknown(now namer.Seconds, key historian.StreamKey) {
-	c.originAsks[key] = slices.DeleteFunc(c.originAsks[key], func(q *request) bool {
-		if q.originAnswers--; q.originAnswers > 0 || c.Learning {
+func (c *Core) countUnknown(now namer.Seconds, ask originAsk) {
+	c.originAsks[ask] = slices.DeleteFunc(c.originAsks[ask], func(q *request) bool {
+		if q.originAnswers--; q.originAnswers > 0 || c.learning() {
 			return false
 		}
 		c.refuseUnknown(now, q)
 		return true
 	})
-	if len(c.originAsks[key]) == 0 {
-		delete(c.originAsks, key)
+	if len(c.originAsks[ask]) == 0 {
+		delete(c.originAsks, ask)
 	}
 }
 
 // expireOriginAsks refuses the requests whose stream hasn't become known in time.
 func (c *Core) expireOriginAsks(now namer.Seconds) {
 	timeout := originTimeout
-	if c.Learning {
+	if c.learning() {
 		timeout = learnTimeout
 	}
-	for key, waiting := range c.originAsks {
-		c.originAsks[key] = slices.DeleteFunc(waiting, func(q *request) bool {
+	for ask, waiting := range c.originAsks {
+		c.originAsks[ask] = slices.DeleteFunc(waiting, func(q *request) bool {
 			if now-q.originAskedAt < timeout {
 				return c.requests[q.ID] != q
 			}
 			c.refuseUnknown(now, q)
 			return true
 		})
-		if len(c.originAsks[key]) == 0 {
-			delete(c.originAsks, key)
+		if len(c.originAsks[ask]) == 0 {
+			delete(c.originAsks, ask)
 		}
 	}
 }
--- a/placer/origin_test.go
+++ b/placer/origin_test.go
@@ -388,3 +388,115 @@
 	is.True(takenUp > 100)
 	is.True(2*wentOn*sent >= takenUp*begun) // LOST: half of the share of new streams
 }
+
+// originDaemons are cores that exchange messages at once. One serves engines of build v1, and later of another one.
+type originDaemons struct {
+	t       *testing.T
+	view    decider.Fleet
+	cores   map[namer.Host]*placer.Core
+	refused classifier.Outcome   // of the last request
+	sentTo  decider.EndpointView // the engine of the last request
+}
+
+func newOriginDaemons(t *testing.T, hosts ...namer.Host) *originDaemons {
+	d := &originDaemons{t: t, cores: map[namer.Host]*placer.Core{}, view: decider.Fleet{Settling: time.Second, Services: []decider.ServiceView{{
+		Name: service, EventTokens: eventTokens, StreamLifetime: 10 * time.Second, Builds: []namer.Build{"v1"},
+	}}}}
+	for _, name := range []namer.Endpoint{"a", "b"} {
+		d.view.Endpoints = append(d.view.Endpoints, decider.EndpointView{Name: name, Service: service, Role: namer.RoleDecode, Concurrency: 64, Build: "v1"})
+	}
+	for _, host := range hosts {
+		d.view.Members = append(d.view.Members, decider.MemberView{Host: host})
+		d.cores[host] = &placer.Core{Self: host, Seed: 1, Retries: placer.Retries{Ratio: 1, Slack: 100, Window: 10 * time.Second}}
+	}
+	d.configure(0)
+	return d
+}
+
+func (d *originDaemons) configure(at time.Duration) {
+	for _, core := range d.cores {
+		core.Configure(epoch.Add(at), d.view)
+	}
+}
+
+func (d *originDaemons) tick(at time.Duration) {
+	for host, core := range d.cores {
+		d.perform(at, host, core.Tick(epoch.Add(at)))
+	}
+}
+
+func (d *originDaemons) perform(at time.Duration, host namer.Host, actions []decider.Action) {
+	for _, a := range slices.Clone(actions) {
+		switch a.Kind {
+		case decider.ActionRefuse:
+			d.refused = a.Outcome
+		case decider.ActionDispatch:
+			for _, e := range d.view.Endpoints {
+				if e.Name == a.Endpoint {
+					d.sentTo = e
+				}
+			}
+			d.perform(at, host, d.cores[host].Observe(epoch.Add(at), decider.Event{Kind: decider.EventStarted, Request: a.Request, Attempt: a.Attempt, Endpoint: a.Endpoint}))
+		case decider.ActionSend:
+			if to := d.cores[a.To]; to != nil {
+				d.perform(at, a.To, to.Receive(epoch.Add(at), host, a.Message.(placer.Message)))
+			}
+		}
+	}
+}
+
+// send sends a request that begins or continues a stream, and waits for its decision.
+func (d *originDaemons) send(at time.Duration, host namer.Host, key historian.StreamKey, continues bool) {
+	d.refused, d.sentTo = "", decider.EndpointView{}
+	d.perform(at, host, d.cores[host].Arrive(epoch.Add(at), decider.Request{
+		ID: namer.NewStreamID(), Service: service, Idempotent: true, PromptTokens: 100, MaxTokens: 57, Deadline: epoch.Add(at + 10*time.Second),
+		Target: time.Second, Attempts: 2, Stream: key, Continues: continues, Lifetime: 10 * time.Second,
+	}))
+	d.tick(at + 50*time.Millisecond)
+}
+
+// Guards against streams that nobody knows because they began while one build served, at a daemon that has been killed since.
+func TestStreamsBeforeSecondBuildStayKnown(t *testing.T) {
+	is := is.New(t)
+	d := newOriginDaemons(t, "h-1", "h-2", "h-3")
+	d.send(20*time.Second, "h-1", 7, false)
+	is.Equal(d.sentTo.Build, namer.Build("v1"))
+	d.view.Services[0].Builds = []namer.Build{"v1", "v2"}
+	d.view.Endpoints = append(d.view.Endpoints, decider.EndpointView{Name: "c", Service: service, Role: namer.RoleDecode, Concurrency: 64, Build: "v2"})
+	d.configure(21 * time.Second)
+	d.tick(21*time.Second + 10*time.Millisecond)
+	delete(d.cores, "h-1")
+	d.send(23*time.Second, "h-2", 7, true)
+	is.Equal(d.refused, classifier.Outcome(""))
+	is.Equal(d.sentTo.Build, namer.Build("v1"))
+	d.send(23*time.Second, "h-2", 8, true)
+	is.Equal(d.refused, classifier.StreamUnknown)
+}
+
+// Guards against a stream that goes on at the build in the old entry of an endpoint which has restarted with another build
+// under its name: which of the two wrote its events isn't known.
+func TestRestartWithAnotherBuildMakesOriginsUncertain(t *testing.T) {
+	is := is.New(t)
+	d := newOriginDaemons(t, "h-1")
+	d.view.Endpoints = append(d.view.Endpoints, decider.EndpointView{Name: "c", Service: service, Role: namer.RoleDecode, Concurrency: 64, Build: "v2"})
+	d.configure(20 * time.Second)
+	at := map[historian.StreamKey]namer.Endpoint{}
+	for key := range historian.StreamKey(30) {
+		d.send(22*time.Second, "h-1", key+1, false)
+		at[key+1] = d.sentTo.Name
+	}
+	a := slices.IndexFunc(d.view.Endpoints, func(e decider.EndpointView) bool { return e.Name == "a" })
+	d.view.Endpoints[a].Build, d.view.Endpoints[a].Incarnation = "v3", 2
+	d.configure(23 * time.Second)
+	uncertain := 0
+	for key, began := range at {
+		d.send(23*time.Second, "h-1", key, true)
+		if began == "a" {
+			uncertain++
+			is.Equal(d.refused, classifier.StreamUnknown)
+			continue
+		}
+		is.Equal(d.refused, classifier.Outcome(""))
+	}
+	is.True(uncertain > 0)
+}
