--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotspool/inspector"
 	"apricotspool/loader"
 	"apricotspool/messenger"
 	"apricotspool/namer"
@@ -28,7 +29,7 @@
 	componentCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopComponents()
 	go g.supervisionTree().Run(componentCtx)
-	callers := &http.Server{Handler: g.relayer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{Handler: g.relayer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: inspector.ConnContext}
 	health := &http.Server{Handler: http.HandlerFunc(g.serveHealth), ReadHeaderTimeout: headerTimeout}
 	peers := newHTTPServer(g.peerHandler(), loader.Limits{HeaderBytes: loader.DefaultHeaderBytes, HeaderTimeout: namer.Duration(loader.DefaultHeaderTimeout)}, true)
 	failed := make(chan error, 3)
--- a/recorder/metrics.go
+++ b/recorder/metrics.go
@@ -49,6 +49,11 @@
 	m.Counter(fmt.Sprintf(`apricotspool_endpoint_reports_total{answered="%t"}`, answered)).Inc()
 }
 
+// CallerLeft counts a caller that left before its response, by when the daemon noticed it.
+func (m *Metrics) CallerLeft(noticed string) {
+	m.Counter(fmt.Sprintf(`apricotspool_callers_left_total{noticed=%q}`, noticed)).Inc()
+}
+
 // Retry counts one retry.
 func (m *Metrics) Retry(r classifier.RetryReason) { m.retry(r).Inc() }
 
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -50,7 +50,7 @@
 	if action.FromBackup {
 		handle = Handle{At: target.Address, ID: x.call.ID}
 	}
-	sentAt := time.Now()
+	sentAt := x.recordSend()
 	response, err := x.relayer.Endpoints.Forward(ctx, target, x.buildCall(Attempt{
 		Endpoint: action.Endpoint, Remaining: time.Until(x.deadline), HasPriority: x.route.Kind == matcher.Stream,
 		Priority: action.Priority, LastEvent: x.resumeAfter(), Handle: handle, Fetch: x.endpointAddress(action.Fetch),
@@ -309,7 +309,7 @@
 // prefill has an engine process the prompt and hold its KV cache for another engine. It reports whether
 // the request has ended.
 func (x *exchange) prefill(ctx context.Context, wd *watchdog, action decider.Action, target forwarder.Target) bool {
-	sentAt := time.Now()
+	sentAt := x.recordSend()
 	response, err := x.relayer.Endpoints.Forward(ctx, target, x.buildCall(Attempt{
 		Endpoint: action.Endpoint, Remaining: time.Until(x.deadline), HasPriority: true, Priority: action.Priority, Prefill: true,
 		Fetch: x.endpointAddress(action.Fetch),
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -51,6 +51,7 @@
 			x.stream.partial = append(x.stream.partial, chunk[:n]...)
 			invalid, err := x.passEvents(wd, action, response, flusher)
 			if err != nil {
+				x.noticeLeft(leftWhileWriting)
 				x.abortResponse(classifier.CallerDisconnected)
 				return true
 			}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -16,6 +16,7 @@
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
 	"apricotspool/historian"
+	"apricotspool/inspector"
 	"apricotspool/matcher"
 	"apricotspool/namer"
 )
@@ -28,6 +29,11 @@
 	startTime time.Time
 	call      Call
 
+	connection *inspector.Connection
+	arrival    arrival
+	left       leftNotice
+	sentAt     time.Time // when the last attempt was sent
+
 	version namer.ConfigVersion // version of the routing table
 	route   *matcher.Route
 	service namer.Service
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -24,6 +24,7 @@
 	"apricotspool/detector"
 	"apricotspool/dispatcher"
 	"apricotspool/forwarder"
+	"apricotspool/inspector"
 	"apricotspool/matcher"
 	"apricotspool/namer"
 	"apricotspool/recorder"
@@ -262,7 +263,9 @@
 			return target, known
 		},
 	}
-	f.server = httptest.NewServer(f.relayer)
+	f.server = httptest.NewUnstartedServer(f.relayer)
+	f.server.Config.ConnContext = inspector.ConnContext
+	f.server.Start()
 	t.Cleanup(func() {
 		f.server.Close()
 		stop()
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -105,6 +105,7 @@
 	if x.outcome != classifier.Served {
 		addOptional(event, "failed-attempt", string(x.lastFailure))
 	}
+	x.addArrival(event)
 	if x.abort {
 		event.Bool("aborted", true)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -13,6 +13,7 @@
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
 	"apricotspool/forwarder"
+	"apricotspool/inspector"
 	"apricotspool/matcher"
 	"apricotspool/namer"
 	"apricotspool/recorder"
@@ -78,7 +79,10 @@
 	if r.draining.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{relayer: r, w: w, r: request, startTime: time.Now(), call: r.Dialect.Decode(request.Header)}
+	x := &exchange{
+		relayer: r, w: w, r: request, startTime: time.Now(), call: r.Dialect.Decode(request.Header), connection: inspector.Of(request.Context()),
+	}
+	x.inspectArrival()
 	if x.prepare() {
 		x.serve()
 	}
@@ -115,5 +119,6 @@
 	case x.r.Context().Err() == nil && x.relayer.ending.Err() != nil:
 		return classifier.Draining
 	}
+	x.noticeLeft(leftWhileWaiting)
 	return classifier.CallerDisconnected
 }
