--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -106,6 +106,8 @@
 	called  []namer.Endpoint // by calls that are no attempts
 	request decider.Request
 
+	onArrive func() // called before the first decision about a request, if set
+
 	probe        namer.Endpoint // probed before an attempt is abandoned, if set
 	unresponsive namer.Endpoint // the last one reported
 }
@@ -116,6 +118,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.request = r
+	if s.onArrive != nil {
+		s.onArrive()
+	}
 	return s.next(r.ID)
 }
 
@@ -214,7 +219,7 @@
 }
 
 // requestLines returns the lines about a request as "event field=value", limited to the given fields.
-func (l *logBuffer) requestLines(t *testing.T, request string, fields ...string) []string {
+func (l *logBuffer) requestLines(t testing.TB, request string, fields ...string) []string {
 	t.Helper()
 	l.mu.Lock()
 	defer l.mu.Unlock()
