relayer, forwarder: Send nothing for a caller that has left

Callers saw nothing: they had given up, for want of an answer or of time. Endpoints got their requests all the same, up to two seconds later (GONE).

Cause: the daemon learned of a close from the request's context alone, which net/http cancels when its background read has seen the end of the connection. That read starts when the handler has read the body, in a goroutine of its own, and stops at bytes that stand before the end; the decision and the send don't wait for it. Where a decision was ready together with the context's end, which of the two came first was chance.

Change: the relayer looks at the caller's connection (inspector: one system call) when a request has been read, and ends it if the caller has left; the forwarder asks immediately before the first byte of each call, after it has a connection, and again in the goroutine that writes a longer body. A call that was abandoned isn't sent, and its connection goes back to the pool. The context is asked at the same place, so that a cancelled call isn't sent either.

--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -110,11 +111,15 @@
 
 // roundTrip sends a call and reads the header of its response.
 func (n *conn) roundTrip(ctx context.Context, c *Client, call Call) (*Response, error) {
+	if call.abandoned(ctx) {
+		c.putBack(n)
+		return nil, fmt.Errorf("%w: %w", ErrAbandoned, ErrNotSent)
+	}
 	n.carried[n.calls%maxCarried] = call.Header.Get(c.EchoHeader)
 	n.calls++
 	stop := context.AfterFunc(ctx, n.discard)
 	w := &requestWriter{conn: n, limit: c.maxRequest()}
-	w.start(call)
+	w.start(ctx, call)
 	response, err := n.readResponse(c, call)
 	if err != nil {
 		stop()
@@ -123,7 +128,10 @@
 		if w.nothingSent() {
 			class = ErrNotSent
 		}
-		if ctx.Err() != nil {
+		switch {
+		case w.wasAbandoned.Load():
+			class = fmt.Errorf("%w: %w", ErrAbandoned, class)
+		case ctx.Err() != nil:
 			err = ctx.Err()
 		}
 		return nil, errors.Wrap(class, err.Error())
@@ -210,9 +218,16 @@
 	done    chan struct{} // nil if the call was written before start returned
 	err     error         // valid once done is closed
 	started atomic.Bool   // some byte may have been sent
+	// wasAbandoned is set if the call was abandoned after the writing goroutine had been started, and before it wrote.
+	wasAbandoned atomic.Bool
+}
+
+// abandoned reports whether the call is not to be sent any more.
+func (c *Call) abandoned(ctx context.Context) bool {
+	return ctx.Err() != nil || (c.Abandoned != nil && c.Abandoned())
 }
 
-func (w *requestWriter) start(call Call) {
+func (w *requestWriter) start(ctx context.Context, call Call) {
 	head := headBuffers.Get().(*bytes.Buffer)
 	head.Reset()
 	writeHead(head, call)
@@ -223,6 +238,12 @@
 	w.done = make(chan struct{})
 	go func() {
 		defer close(w.done)
+		if call.abandoned(ctx) { // again, since the goroutine may have waited for processor time
+			headBuffers.Put(head)
+			w.wasAbandoned.Store(true)
+			w.fail(ErrAbandoned)
+			return
+		}
 		w.write(head, call)
 	}()
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,6 +34,9 @@
 	// MaxIdle is how long a pooled connection may have been idle to be reused for this call; 0 means no
 	// limit. An endpoint that closes idle connections may do so while the call is in transit.
 	MaxIdle time.Duration
+	// Abandoned, if set, is called immediately before the first byte is written, possibly in another goroutine. If it returns
+	// true, nothing is sent and Forward fails with ErrAbandoned.
+	Abandoned func() bool
 }
 
 // NewConnection as Call.MaxIdle keeps a call off connections with earlier calls. Nothing tells the responses to calls
@@ -60,6 +63,8 @@
 var (
 	// ErrNotSent means that no byte of the call was sent, so the endpoint can't have executed it.
 	ErrNotSent = errors.New("call was not sent")
+	// ErrAbandoned means that the call was abandoned before it was sent. Its errors are of class ErrNotSent too.
+	ErrAbandoned = errors.New("call was abandoned")
 	// ErrUncertain means that the call may have been sent and executed.
 	ErrUncertain = errors.New("endpoint did not respond; the call may have been executed")
 	// ErrTooLarge means that the call exceeds a size limit; nothing was sent.
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -149,6 +149,19 @@
 	c.sweep(now)
 }
 
+// putBack returns a connection to its pool on which nothing has been sent since it was taken out or dialed.
+func (c *Client) putBack(unused *conn) {
+	timeout := c.idleTimeout()
+	if !unused.expires.IsZero() {
+		timeout = time.Until(unused.expires)
+	}
+	if unused.discarded.Load() || timeout <= 0 {
+		unused.discard()
+		return
+	}
+	c.putIdle(unused, timeout)
+}
+
 // hasCarried reports whether one of the last calls on the connection had the id, so that it would not tell their
 // responses apart.
 func (n *conn) hasCarried(id string) bool {
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -99,6 +99,7 @@
 	path, query, _ := strings.Cut(x.r.RequestURI, "?")
 	call := forwarder.Call{
 		Method: x.r.Method, Path: path, Query: query, Host: x.r.Host, Header: header, Body: x.bodyReader(), Length: int64(len(x.body)),
+		Abandoned: x.hasLeft,
 	}
 	switch {
 	case x.call.ID == "":
@@ -147,7 +148,7 @@
 	if notRun {
 		x.notRun = proofNotSent
 	}
-	if x.endIfDone(ctx) {
+	if x.endIfLeft(err) || x.endIfDone(ctx) {
 		return true
 	}
 	reason := cmp.Or(abandoned(ctx), classifier.RetryStreamBroken)
@@ -329,7 +330,7 @@
 		x.ticket.Prefilled(action.Attempt, action.Endpoint)
 		return false
 	}
-	if x.endIfDone(ctx) {
+	if x.endIfLeft(err) || x.endIfDone(ctx) {
 		return true
 	}
 	reason := classifier.RetryStreamBroken
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -82,8 +82,7 @@
 	x := &exchange{
 		relayer: r, w: w, r: request, startTime: time.Now(), call: r.Dialect.Decode(request.Header), connection: inspector.Of(request.Context()),
 	}
-	x.inspectArrival()
-	if x.prepare() {
+	if x.inspectArrival() && x.prepare() {
 		x.serve()
 	}
 	if x.abort {
