inspector, assembler: Close connections of callers that have left before reading them

A gateway that falls behind read all that its callers had given up, in the order in which it had come, before it got to callers that wait: the connections lie in the kernel's queue, not accepted.

Change: the callers' listener looks at a connection when it has accepted it, and closes it unread if the caller has left; counted as noticed="accept".

--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -33,7 +33,7 @@
 	health := &http.Server{Handler: http.HandlerFunc(g.serveHealth), ReadHeaderTimeout: headerTimeout}
 	peers := newHTTPServer(g.peerHandler(), loader.Limits{HeaderBytes: loader.DefaultHeaderBytes, HeaderTimeout: namer.Duration(loader.DefaultHeaderTimeout)}, true)
 	failed := make(chan error, 3)
-	for server, listener := range map[*http.Server]net.Listener{peers: l.peers, callers: l.callers, health: l.health} {
+	for server, listener := range map[*http.Server]net.Listener{peers: l.peers, callers: g.callersListener(l.callers), health: l.health} {
 		defer server.Close()
 		go func() { failed <- server.Serve(listener) }()
 	}
@@ -47,6 +47,11 @@
 	return nil
 }
 
+// callersListener drops the connections of callers that have left before they are accepted.
+func (g *Gateway) callersListener(listener net.Listener) net.Listener {
+	return &inspector.Listener{Listener: listener, OnLeft: func() { g.metrics.CallerLeft("accept") }}
+}
+
 const (
 	// headerTimeout bounds the time for reading a request header. Callers of the platform need less.
 	headerTimeout = 10 * time.Second
