relayer: Count a request's time from when its bytes came

A request that had lain unread got its caller's whole time again when it was read: the endpoint worked on after the caller's deadline, and the caller's own clock had run out. Cause: the deadline was counted from the beginning of the handler. The kernel knows for how long a connection's last bytes have been there; the relayer subtracts that. A request whose time is over when it is read gets 504 without an attempt.

TestTimeUnreadCounts: after 200 ms unread, a caller's second is passed on as at most 820 ms, and a caller with 100 ms isn't passed on; both rows failed before (full second; 200).

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -26,7 +26,7 @@
 	relayer   *Relayer
 	w         http.ResponseWriter
 	r         *http.Request
-	startTime time.Time
+	startTime time.Time // when the request's bytes came, or its handler began if the kernel doesn't tell
 	call      Call
 
 	connection *inspector.Connection
@@ -141,6 +141,10 @@
 	defer cancel()
 	x.relayer.initEnding()
 	defer context.AfterFunc(x.relayer.ending, cancel)()
+	if ctx.Err() != nil {
+		x.endWithoutAttempt(x.outcomeForContext(ctx), 0)
+		return
+	}
 	patience := time.Duration(0)
 	if x.route.Kind == matcher.Stream {
 		patience = x.relayer.Dialect.Patience(x.route.Target, x.route.TargetGap)
--- a/relayer/left.go
+++ b/relayer/left.go
@@ -31,6 +31,7 @@
 func (x *exchange) inspectArrival() bool {
 	state := x.connection.Inspect()
 	x.arrival = arrival{unread: state.Quiet, connected: x.connection.Age()}
+	x.startTime = x.startTime.Add(-state.Quiet) // the caller's time has run since then
 	if state.Left {
 		x.noticeLeft(leftOnArrival)
 		x.refuse(classifier.CallerDisconnected, 0)
--- a/relayer/left_test.go
+++ b/relayer/left_test.go
@@ -1,6 +1,7 @@
 package relayer_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -60,7 +62,7 @@
 
 func (l leaver) send(t testing.TB, method, path, id, after string, header ...string) {
 	t.Helper()
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nX-Patience: 900\r\nContent-Length: 4\r\n%s\r\nbody%s", method, path, id, strings.Join(header, ""), after)
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nContent-Length: 4\r\n%s\r\nbody%s", method, path, id, strings.Join(header, ""), after)
 	_, err := io.WriteString(l, text)
 	is.New(t).NoErr(err)
 }
@@ -129,6 +131,47 @@
 	}
 }
 
+// Guards against requests that get more time than their callers have left, because they lay unread for a while.
+func TestTimeUnreadCounts(t *testing.T) {
+	const unread = 200 * time.Millisecond
+	for name, c := range map[string]struct {
+		patience time.Duration
+		sent     bool
+	}{
+		"time left":    {time.Second, true},
+		"no time left": {unread / 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, dispatchTo("a")...)
+			var remaining atomic.Int64
+			f.endpoint("a", func(_ http.ResponseWriter, r *http.Request) {
+				ms, _ := strconv.ParseInt(r.Header.Get("X-Remaining"), 10, 64)
+				remaining.Store(ms)
+			})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			conn := newLeaver(t, listener.Addr().String())
+			conn.send(t, http.MethodPost, "/unsafe/", "id-1", "", fmt.Sprintf("X-Patience: %d\r\n", c.patience.Milliseconds()))
+			time.Sleep(unread)
+			server := &http.Server{Handler: f.relayer, ConnContext: inspector.ConnContext}
+			go server.Serve(listener)
+			defer server.Close()
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			response.Body.Close()
+			if !c.sent {
+				is.Equal(response.StatusCode, http.StatusGatewayTimeout)
+				is.Equal(remaining.Load(), int64(0))
+				return
+			}
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.True(remaining.Load() > 0)
+			is.True(time.Duration(remaining.Load())*time.Millisecond <= c.patience-unread*9/10) // the kernel counts in coarse steps
+		})
+	}
+}
+
 // Guards against calls to endpoints for a caller that has left while its request was being decided about, was waiting for a
 // connection, or was at another endpoint.
 func TestCallerThatLeavesIsNotServedFurther(t *testing.T) {
