server: Send nothing for a caller that has left, in the product's own mode

A daemon now looks at the caller's connection when it has read a request, before the first attempt of a completion, and before each call to a plain service. By design these go on: calls with an idempotency key, whose callers may ask again for the response, and streams whose callers have a response that they can resume.

--- a/assembler/listeners.go
+++ b/assembler/listeners.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotspool/inspector"
 	"apricotspool/loader"
 )
 
@@ -83,6 +84,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
 		IdleTimeout:       2 * time.Minute, // exceeds the idle timeout of common load balancers
 		Protocols:         protocols,
+		ConnContext:       inspector.ConnContext,
 	}
 }
 
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -12,6 +12,7 @@
 	"apricotspool/asserter"
 	"apricotspool/classifier"
 	"apricotspool/configurer"
+	"apricotspool/inspector"
 	"apricotspool/namer"
 	"apricotspool/resumer"
 )
@@ -49,6 +50,19 @@
 	return x
 }
 
+// callerLeft reports whether the caller has left. The context of its request ends later: net/http reads in the background.
+func (x *exchange) callerLeft() bool { return inspector.Of(x.r.Context()).Inspect().Left }
+
+// callerWaits ends the request and returns false if its caller left before the request was read. A call with an idempotency
+// key goes on, since its caller may ask for the response again.
+func (x *exchange) callerWaits() bool {
+	if x.r.Header.Get(HeaderIdempotencyKey) != "" || !x.callerLeft() {
+		return true
+	}
+	x.refuse(classifier.CallerDisconnected, "")
+	return false
+}
+
 // errorResponseGrace is the time after the request's deadline in which an error response can be written.
 const errorResponseGrace = 5 * time.Second
 
--- a/server/fixture_test.go
+++ b/server/fixture_test.go
@@ -24,6 +24,7 @@
 	"apricotspool/forwarder"
 	"apricotspool/generator"
 	"apricotspool/imitator"
+	"apricotspool/inspector"
 	"apricotspool/namer"
 	"apricotspool/recorder"
 	"apricotspool/resumer"
@@ -132,7 +133,7 @@
 		a(s)
 	}
 	killable := &killableListener{Listener: listener}
-	httpServer := &http.Server{Handler: s.Handler()}
+	httpServer := &http.Server{Handler: s.Handler(), ConnContext: inspector.ConnContext}
 	go httpServer.Serve(killable)
 	t.Cleanup(func() {
 		httpServer.Close()
--- a/server/forward.go
+++ b/server/forward.go
@@ -55,7 +55,9 @@
 	}
 	ctx, stop := x.withDeadline(f.deadline)
 	defer stop()
-	if claimed {
+	if !claimed {
+		f.call.Abandoned = x.callerLeft
+	} else {
 		// A claimed call continues if its caller disconnects, so that its response is recorded.
 		ctx, stop = context.WithDeadline(context.WithoutCancel(ctx), f.deadline)
 		defer stop()
--- a/server/forwardattempt.go
+++ b/server/forwardattempt.go
@@ -83,7 +83,7 @@
 		}
 		notRun := errors.Is(err, forwarder.ErrNotSent)
 		mayHaveRun = mayHaveRun || !notRun
-		if ctx.Err() != nil || (f.streamedBody != nil && f.streamedBody.wasRead()) {
+		if ctx.Err() != nil || errors.Is(err, forwarder.ErrAbandoned) || (f.streamedBody != nil && f.streamedBody.wasRead()) {
 			return nil, f.outcomeWithoutRetry(ctx, mayHaveRun)
 		}
 		reason := classifier.RetryStreamBroken
@@ -99,7 +99,7 @@
 	outcome := classifier.EndpointRefused
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		outcome = classifier.DeadlineExceeded
-	} else if ctx.Err() != nil {
+	} else if ctx.Err() != nil || f.x.callerLeft() {
 		outcome = classifier.CallerDisconnected
 	}
 	return f.executionOutcome(outcome, mayHaveRun)
--- a/server/relay.go
+++ b/server/relay.go
@@ -93,6 +93,10 @@
 	case decider.ActionRefuse:
 		r.failWithRetryAfter(a.Outcome, "", a.RetryAfter)
 	case decider.ActionDispatch:
+		if !r.x.headerSent && r.x.callerLeft() { // a caller that has no response yet can't resume it
+			r.handleDisconnect()
+			return
+		}
 		r.startAttempt(ctx, a)
 	case decider.ActionCancel:
 		if att := r.pendingAttempts[a.Attempt]; att != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -129,7 +129,7 @@
 	x := s.newExchange(w, r)
 	if s.inFlight.Add(1) > int64(s.MaxRequests) && s.MaxRequests > 0 {
 		x.refuse(classifier.QueueFull, "this daemon has too many requests in flight")
-	} else if x.authenticate() {
+	} else if x.callerWaits() && x.authenticate() {
 		x.route()
 	}
 	asserter.Check(x.outcome != "", "every request has an outcome", "%s %s", r.Method, r.URL.Path)
