placer, assembler: Show streams joined at a daemon that is out of step

Other operators saw it during a release: a machine cut off or standing still for seconds joined streams of a new software version to the old one.

TestStreamsHaveOneBuild had no daemon that is out of step. No check is looser: take-ups count towards LOST at daemons that are in step.

--- a/placer/origin_test.go
+++ b/placer/origin_test.go
@@ -28,10 +28,13 @@
 	originSettling = 500 * time.Millisecond
 	// originStable is the time since its start after which a daemon's refusals count.
 	originStable = 3 * time.Second
+	// originPoll is the longest time between two reads of the object API.
+	originPoll = 2 * originSettling / 5
 )
 
-// originWorld simulates daemons whose streams break off and are taken up, while builds come and go. Daemons learn of a
-// change within the settling time.
+// originWorld simulates daemons whose streams break off and are taken up, while builds come and go. Daemons learn of changes
+// by polling the object API, which some are cut off from; others are cut off from their peers, in one direction or both, or
+// stand still while their steady clock doesn't run.
 type originWorld struct {
 	fleet // schedules events only
 	t     *testing.T
@@ -47,8 +50,9 @@
 }
 
 type versionedEndpoint struct {
-	view decider.EndpointView
-	down bool
+	view      decider.EndpointView
+	down      bool
+	fullUntil time.Duration
 }
 
 type originDaemon struct {
@@ -57,6 +61,16 @@
 	down      bool
 	starts    int
 	startedAt time.Duration
+
+	storeCuts, receiveCuts, sendCuts, suspensions int           // in progress
+	troubled                                      time.Duration // when the last of them ended
+	lost                                          time.Duration // in suspensions, by which the steady clock is late
+	pending                                       []func()      // for the end of the suspension
+}
+
+// inStep reports whether nothing has disrupted the daemon for a while.
+func (d *originDaemon) inStep(now time.Duration) bool {
+	return d.storeCuts+d.receiveCuts+d.sendCuts+d.suspensions == 0 && now-max(d.startedAt, d.troubled) > originStable
 }
 
 // versionedStream is a stream over all requests that continue it.
@@ -138,8 +152,34 @@
 	return view
 }
 
-// publish tells the daemons of a change, each after a time of its own.
-func (w *originWorld) publish() {
+// clock returns the steady time of a daemon.
+func (w *originWorld) clock(d *originDaemon) time.Time { return w.time().Add(-d.lost) }
+
+// step runs a step of a daemon, at the end of its suspension if there is one.
+func (w *originWorld) step(d *originDaemon, f func()) {
+	if d.suspensions > 0 {
+		d.pending = append(d.pending, f)
+		return
+	}
+	if !d.down {
+		f()
+	}
+}
+
+// poll reads the object API for a daemon, again and again.
+func (w *originWorld) poll(d *originDaemon, start int) {
+	if d.down || d.starts != start {
+		return
+	}
+	if d.storeCuts == 0 && d.suspensions == 0 {
+		w.list()
+		w.confirm(d, start)
+	}
+	w.after(time.Duration(10+w.random.Int64N(int64(originPoll/time.Millisecond)))*time.Millisecond, func() { w.poll(d, start) })
+}
+
+// list adds builds that serve to the list in the object API, and removes those whose last stream can't be taken up any more.
+func (w *originWorld) list() {
 	for _, e := range w.endpoints {
 		w.listed[e.view.Build] = w.now
 	}
@@ -148,34 +188,73 @@
 			delete(w.listed, build)
 		}
 	}
-	for _, d := range w.daemons {
-		w.after(time.Duration(w.random.Int64N(int64(originSettling))), func() {
-			if !d.down {
-				d.core.Configure(w.time(), w.view())
+}
+
+// confirm passes what the object API holds now to a daemon.
+func (w *originWorld) confirm(d *originDaemon, start int) {
+	view := w.view()
+	w.after(networkDelay, func() {
+		w.step(d, func() {
+			if d.starts == start {
+				d.core.Configure(w.clock(d), view)
+			}
+		})
+	})
+}
+
+// disrupt begins a disruption of a daemon, and ends it after a while.
+func (w *originWorld) disrupt(d *originDaemon) {
+	length := time.Duration(50+w.random.IntN(3000)) * time.Millisecond
+	kinds := [][]*int{{&d.storeCuts}, {&d.storeCuts}, {&d.receiveCuts}, {&d.sendCuts}, {&d.receiveCuts, &d.sendCuts}, {&d.suspensions}, {&d.storeCuts, &d.receiveCuts}}
+	for _, n := range kinds[w.random.IntN(len(kinds))] {
+		*n++
+		w.after(length, func() {
+			*n--
+			d.troubled = w.now
+			if n == &d.suspensions {
+				w.wake(d, length)
 			}
 		})
 	}
 }
 
+func (w *originWorld) wake(d *originDaemon, length time.Duration) {
+	if d.suspensions > 0 {
+		return
+	}
+	d.lost += length
+	pending := d.pending
+	d.pending = nil
+	w.random.Shuffle(len(pending), func(i, j int) { pending[i], pending[j] = pending[j], pending[i] })
+	for _, f := range pending {
+		w.step(d, f)
+	}
+}
+
 func (w *originWorld) start(d *originDaemon) {
+	if d.storeCuts+d.suspensions > 0 { // it can't read its configuration
+		w.after(100*time.Millisecond, func() { w.start(d) })
+		return
+	}
 	d.down = false
 	d.starts++
 	d.startedAt = w.now
 	d.core = &placer.Core{
 		Self: d.name, Seed: w.random.Uint64(), Retries: placer.Retries{Ratio: 0.2, Slack: 500, Window: 10 * time.Second},
 	}
-	for _, e := range w.endpoints {
-		w.listed[e.view.Build] = w.now
-	}
-	d.core.Configure(w.time(), w.view())
+	w.list()
+	d.core.Configure(w.clock(d), w.view())
 	w.tick(d, d.starts)
+	w.poll(d, d.starts)
 }
 
 func (w *originWorld) tick(d *originDaemon, start int) {
 	if d.down || d.starts != start {
 		return
 	}
-	w.perform(d, d.core.Tick(w.time()))
+	if d.suspensions == 0 {
+		w.perform(d, d.core.Tick(w.clock(d)))
+	}
 	w.after(10*time.Millisecond, func() { w.tick(d, start) })
 }
 
@@ -183,7 +262,7 @@
 	if d.down {
 		return
 	}
-	d.down = true
+	d.down, d.pending = true, nil
 	for _, r := range w.requests {
 		if r.daemon == d {
 			delete(w.requests, r.id)
@@ -209,14 +288,20 @@
 	w.last++
 	r := &originRequest{id: namer.StreamID(fmt.Sprint(w.last)), stream: s, daemon: d, tries: tries}
 	w.requests[r.id] = r
-	if r.counts = len(s.builds) > 0 && w.now-d.startedAt > originStable && w.serving(s.builds[0]) >= 2; r.counts {
+	if r.counts = len(s.builds) > 0 && d.inStep(w.now) && w.serving(s.builds[0]) >= 2; r.counts {
 		w.takenUp++
 	}
-	w.perform(d, d.core.Arrive(w.time(), decider.Request{
-		ID: r.id, Service: service, Idempotent: true, PromptTokens: 2000, MaxTokens: 114, Deadline: w.time().Add(originLifetime),
+	request := decider.Request{
+		ID: r.id, Service: service, Idempotent: true, PromptTokens: 2000, MaxTokens: 114,
 		Target: 300 * time.Millisecond, Attempts: 3, Stream: s.key, Continues: len(s.builds) > 0, Lifetime: originLifetime,
 		Priority: w.random.IntN(2),
-	}))
+	}
+	w.step(d, func() {
+		if w.requests[r.id] == r {
+			request.Deadline = w.clock(d).Add(originLifetime)
+			w.perform(d, d.core.Arrive(w.clock(d), request))
+		}
+	})
 }
 
 // serving returns the number of endpoints that can generate with a build.
@@ -231,10 +316,13 @@
 }
 
 func (w *originWorld) observe(r *originRequest, e decider.Event) {
-	if w.requests[r.id] == r {
-		e.Request, e.Attempt, e.Endpoint = r.id, r.attempt, r.endpoint
-		w.perform(r.daemon, r.daemon.core.Observe(w.time(), e))
-	}
+	e.Attempt, e.Endpoint = r.attempt, r.endpoint
+	w.step(r.daemon, func() {
+		if w.requests[r.id] == r && r.attempt == e.Attempt && r.endpoint == e.Endpoint {
+			e.Request = r.id
+			w.perform(r.daemon, r.daemon.core.Observe(w.clock(r.daemon), e))
+		}
+	})
 }
 
 func (w *originWorld) perform(d *originDaemon, actions []decider.Action) {
@@ -244,10 +332,10 @@
 			message := a.Message.(placer.Message)
 			message = w.transmit(message)
 			to := w.daemons[slices.IndexFunc(w.daemons, func(d *originDaemon) bool { return d.name == a.To })]
-			if w.random.IntN(100) > 0 {
+			if w.random.IntN(100) > 0 && d.sendCuts == 0 {
 				w.after(networkDelay, func() {
-					if !to.down {
-						w.perform(to, to.core.Receive(w.time(), d.name, message))
+					if to.receiveCuts == 0 {
+						w.step(to, func() { w.perform(to, to.core.Receive(w.clock(to), d.name, message)) })
 					}
 				})
 			}
@@ -274,6 +362,8 @@
 		w.observe(r, decider.Event{Kind: decider.EventFailed, Reason: classifier.RetryConnectFailed, NotRun: true})
 	case a.Kind == decider.ActionPrefill:
 		w.observe(r, decider.Event{Kind: decider.EventPrefilled})
+	case w.now < e.fullUntil:
+		w.observe(r, decider.Event{Kind: decider.EventFailed, Reason: classifier.RetryEndpointRefused, NotRun: true})
 	default:
 		r.started = true
 		if len(r.stream.builds) == 0 {
@@ -286,16 +376,33 @@
 			w.joined++
 		}
 		w.observe(r, decider.Event{Kind: decider.EventStarted})
+		if w.random.IntN(6) == 0 {
+			w.after(time.Duration(5+w.random.IntN(300))*time.Millisecond, func() { w.disconnect(r) })
+		}
 		w.after(time.Duration(20+w.random.IntN(900))*time.Millisecond, func() {
 			if w.requests[r.id] == r && r.attempt == a.Attempt && r.endpoint == a.Endpoint {
 				r.stream.over = true
-				w.observe(r, decider.Event{Kind: decider.EventFinished, OutputTokens: 2})
-				delete(w.requests, r.id)
+				w.step(r.daemon, func() {
+					w.observe(r, decider.Event{Kind: decider.EventFinished, OutputTokens: 2})
+					delete(w.requests, r.id)
+				})
 			}
 		})
 	}
 }
 
+// disconnect breaks the connection between a caller and its daemon.
+func (w *originWorld) disconnect(r *originRequest) {
+	if w.requests[r.id] != r || !r.started {
+		return
+	}
+	w.step(r.daemon, func() {
+		w.observe(r, decider.Event{Kind: decider.EventCancelled})
+		delete(w.requests, r.id)
+	})
+	w.loseConnection(r)
+}
+
 // crash ends an endpoint and the streams at it.
 func (w *originWorld) crash(name namer.Endpoint) {
 	e := w.endpoints[name]
@@ -315,7 +422,6 @@
 	w.after(time.Duration(200+w.random.IntN(1500))*time.Millisecond, func() {
 		delete(w.endpoints, name)
 		w.addEndpoint(e.view.Build) // back under another name
-		w.publish()
 	})
 }
 
@@ -332,35 +438,59 @@
 func (w *originWorld) release(build namer.Build) {
 	old := w.someEndpoint()
 	w.addEndpoint(build)
-	w.publish()
 	w.after(time.Duration(w.random.IntN(1000))*time.Millisecond, func() {
 		if e := w.endpoints[old]; e != nil && !e.down {
 			e.view.Leaving = true
-			w.publish()
 			w.after(originSettling+originLifetime, func() {
 				delete(w.endpoints, old)
-				w.publish()
 			})
 		}
 	})
 }
 
+// replaceBuilds has each build replaced by the next one, with a time between in which only one build serves, and disrupts
+// daemons as the first endpoint of a build comes.
+func (w *originWorld) replaceBuilds(next []namer.Build) {
+	for i, build := range next {
+		at := time.Duration(4+4*i) * time.Second
+		for range 3 {
+			w.after(at-time.Duration(w.random.IntN(1000))*time.Millisecond, func() { w.disrupt(w.daemons[w.random.IntN(len(w.daemons))]) })
+		}
+		w.after(at, func() {
+			for _, e := range w.endpoints { // so that the new ones are wanted at once
+				e.fullUntil = w.now + time.Duration(w.random.IntN(1500))*time.Millisecond
+			}
+		})
+		for range 6 {
+			w.after(at+time.Duration(w.random.IntN(1000))*time.Millisecond, func() { w.release(build) })
+		}
+	}
+}
+
 // Guards against streams that are joined from two builds, over releases, crashes, killed daemons, lost messages and callers
-// that take streams up at other daemons, several times; and against refusing most of these (LOST).
+// that take streams up at other daemons, several times, some of which are out of step: cut off from the object API or from
+// their peers, or standing still; and against refusing most of these at daemons in step (LOST).
 func TestStreamsHaveOneBuild(t *testing.T) {
 	is := is.New(t)
 	takenUp, wentOn, begun, sent := 0, 0, 0, 0
 	for seed := *originFirst; seed < *originFirst+*originSeeds; seed++ {
 		w := newOriginWorld(t, seed, 8)
 		builds := []namer.Build{"v1", "v2", "v1.1", "v3"}
+		rest := 10 // kinds of events that may come
+		if seed%2 == 0 {
+			w.replaceBuilds(builds[1:])
+			rest = 7
+		}
 		for at := 3 * time.Second; at < 16*time.Second; at += time.Duration(100+w.random.IntN(900)) * time.Millisecond {
 			w.after(at, func() {
-				switch n := w.random.IntN(10); {
-				case n < 4:
+				switch n := w.random.IntN(rest); {
+				case n >= 7:
 					w.release(builds[w.random.IntN(1+int(w.now/(4*time.Second)))])
-				case n < 7:
+				case n < 2:
+					w.disrupt(w.daemons[w.random.IntN(len(w.daemons))])
+				case n < 4:
 					w.crash(w.someEndpoint())
-				case n < 9:
+				case n < 6:
 					w.kill(w.daemons[w.random.IntN(len(w.daemons))])
 				case w.random.IntN(3) == 0:
 					for _, d := range w.daemons {
