timekeeper, follower: Say how current a replica is, by a clock that doesn't stop

A replica's age was measured by the steady clock, which stands still while a machine is suspended, and a reader's reply counted as new as when it was received, however long it or either daemon had been held up. So nothing could be concluded safely from what a replica lacks.

Change: ages are measured by CLOCK_BOOTTIME from the instant before which all changes are included: the beginning of the call to the store, or of that to the reader plus the time for which it held the call (SyncReply.Held; a daemon of an earlier version can't read it, and reads the store itself). A follower also says since when it has been confirmed again and again, so that nothing that existed for three quarters of the staleness bound was missed; a restored store counts as incomplete until its writers have had time. A registrar counts the changes that it has applied.

--- /dev/null
+++ b/follower/confirmation.go
@@ -0,0 +1,77 @@
+package follower
+
+import (
+	"math"
+	"time"
+
+	"apricotspool/timekeeper"
+)
+
+// Confirmation says what a replica is known to include. What the object API doesn't hold at an instant is absent only in
+// a replica that was confirmed after it. Instants are those of the follower's clock.
+type Confirmation struct {
+	// Changes is that of the listing which is confirmed.
+	Changes uint64
+	// At is an instant before which all changes are included. It is meaningful if Known is set.
+	At    timekeeper.Instant
+	Known bool
+	// UnbrokenSince is the instant since which the replica has been confirmed again and again, so that an object that
+	// existed for MaxGap was seen. It is in the future after a restore of the store, until its writers have written again what
+	// the store has lost.
+	UnbrokenSince timekeeper.Instant
+	// Gaps counts the gaps, and Gap is the time between the two confirmations around the last one.
+	Gaps uint64
+	Gap  time.Duration
+}
+
+// gapFraction is the longest time between two confirmations of a replica that is followed without a gap.
+const gapFraction = 0.75
+
+// MaxGap returns the time for which an object must exist to be seen while there is no gap.
+func (f *Follower) MaxGap() time.Duration { return f.boundFraction(gapFraction) }
+
+// Confirmation returns what the replica is known to include.
+func (f *Follower) Confirmation() Confirmation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmation
+}
+
+// Age returns the time since the object API last confirmed the replica.
+func (f *Follower) Age() time.Duration {
+	f.init()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age()
+}
+
+func (f *Follower) age() time.Duration {
+	if !f.confirmation.Known {
+		return math.MaxInt64
+	}
+	return f.clock().Sub(f.confirmation.At)
+}
+
+// confirm records that the replica includes all changes made before an instant. A zero time confirms nothing.
+func (f *Follower) confirm(confirmed time.Time, at timekeeper.Instant, restored bool) {
+	if confirmed.After(f.confirmed) {
+		f.confirmed = confirmed
+		c := &f.confirmation
+		gap := at.Sub(c.At)
+		switch {
+		case !c.Known:
+			c.UnbrokenSince = at
+		case gap > f.MaxGap():
+			c.UnbrokenSince, c.Gap = max(c.UnbrokenSince, at), gap
+			c.Gaps++
+		}
+		c.At, c.Known = max(c.At, at), true
+	}
+	if restored {
+		f.confirmation.UnbrokenSince = f.clock().Add(f.boundFraction(1) + restoreGrace)
+	}
+}
+
+// restoreGrace is the time, beyond the staleness bound, after which the writers of what a restored store has lost have
+// written it again, and the lists that others make of it.
+const restoreGrace = 2 * time.Second
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"apricotspool/storer"
+	"apricotspool/timekeeper"
 )
 
 const (
@@ -76,16 +77,21 @@
 	MaxValueBytes int
 	// DisableWatch makes the follower see changes by polling only.
 	DisableWatch bool
-	Log          zerolog.Logger
+	// Clock measures how old the replica is; nil means the clock of package time, which stands still while the machine is
+	// suspended.
+	Clock timekeeper.Clock
+	Log   zerolog.Logger
 
 	once    sync.Once
 	done    chan struct{}
+	clock   timekeeper.Clock
 	listing atomic.Pointer[Listing]
 
 	mu              sync.Mutex // guards the fields below; not held during calls
 	state           state
 	started         time.Time
-	confirmed       time.Time // when the object API last confirmed the replica
+	confirmation    Confirmation
+	confirmed       time.Time // when the object API last confirmed the replica; see confirmation
 	responded       time.Time // when the object API last responded
 	readerResponded time.Time // when the reader of this daemon last responded
 	failing         bool
@@ -98,6 +104,10 @@
 	f.once.Do(func() {
 		f.done = make(chan struct{})
 		f.changed = make(chan struct{})
+		begin := time.Now()
+		if f.clock = f.Clock; f.clock == nil {
+			f.clock = func() timekeeper.Instant { return timekeeper.Instant(time.Since(begin)) }
+		}
 	})
 }
 
@@ -152,7 +162,11 @@
 	if since.Before(f.started) {
 		since = f.started
 	}
-	return time.Since(since) >= f.boundFraction(staleFraction)
+	age := time.Since(since)
+	if !f.confirmed.IsZero() {
+		age = max(age, f.age())
+	}
+	return age >= f.boundFraction(staleFraction)
 }
 
 // poll lists all objects: periodically if this daemon is a reader, otherwise whenever its replica is stale.
@@ -196,13 +210,6 @@
 	return f.readListHedged(ctx)
 }
 
-// Age returns the time since the object API last confirmed the replica.
-func (f *Follower) Age() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return time.Since(f.confirmed)
-}
-
 // readListHedged lists all objects, with hedged calls while there is no response.
 func (f *Follower) readListHedged(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -232,7 +239,7 @@
 
 // readList lists all objects. A watch may continue from the version of the first page.
 func (f *Follower) readList(ctx context.Context) error {
-	callStart := time.Now()
+	callStart, callInstant := time.Now(), f.clock()
 	objects := map[string]storer.Object{}
 	var version storer.Version
 	for after, first := "", true; ; first = false {
@@ -264,7 +271,7 @@
 	if known, _ := f.currentVersion(); version.Era() < known.Era() {
 		callStart = time.Time{} // the list does not confirm the replica
 	}
-	f.update(time.Now(), callStart, func(s *state) bool { return s.applyList(objects, version) })
+	f.update(time.Now(), callStart, callInstant, func(s *state) bool { return s.applyList(objects, version) })
 	return nil
 }
 
@@ -288,7 +295,7 @@
 		sleep(ctx, checkPeriod)
 		return
 	}
-	callStart := time.Now()
+	callStart, callInstant := time.Now(), f.clock()
 	changes, err := f.Source.Watch(ctx, f.Prefix, since)
 	switch {
 	case errors.Is(err, storer.ErrHistoryGone):
@@ -302,7 +309,7 @@
 		for i := range changes.Objects {
 			changes.Objects[i] = f.limited(changes.Objects[i])
 		}
-		f.update(time.Now(), callStart, func(s *state) bool { return s.applyChanges(changes) })
+		f.update(time.Now(), callStart, callInstant, func(s *state) bool { return s.applyChanges(changes) })
 	}
 }
 
@@ -321,8 +328,8 @@
 }
 
 // update applies a change to the state and publishes the result. responded is when the object API responded;
-// its response includes all changes made before confirmed.
-func (f *Follower) update(responded, confirmed time.Time, apply func(*state) bool) {
+// its response includes all changes made before confirmed, which is at on the follower's clock.
+func (f *Follower) update(responded, confirmed time.Time, at timekeeper.Instant, apply func(*state) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if responded.After(f.responded) {
@@ -334,16 +341,19 @@
 	}
 	before := f.state.version.Era()
 	changed := apply(&f.state)
+	restored := false
 	if era := f.state.version.Era(); era > before && f.listing.Load() != nil {
+		restored = true
 		// A restore has the effect of an outage: entries may be missing until their owners write them again.
 		f.outageEnd = responded
 		f.Log.Warn().Str("prefix", f.Prefix).Uint64("era", uint64(era)).Msg("object-api-restored")
 	}
-	if confirmed.After(f.confirmed) {
-		f.confirmed = confirmed
+	f.confirm(confirmed, at, restored)
+	if changed {
+		f.confirmation.Changes++
 	}
 	if listing := f.listing.Load(); changed || listing == nil || listing.OutageEnd != f.outageEnd {
-		f.listing.Store(f.state.listing(f.outageEnd))
+		f.listing.Store(f.state.listing(f.outageEnd, f.confirmation.Changes))
 	}
 	if changed {
 		close(f.changed)
--- a/follower/state.go
+++ b/follower/state.go
@@ -13,6 +13,8 @@
 	Version storer.Version           // store version up to which all changes are included
 	// OutageEnd is when the store last responded again after a failed call; zero before the first failure.
 	OutageEnd time.Time
+	// Changes counts the changes of the objects, whatever their versions.
+	Changes uint64
 }
 
 // maxTombstones bounds the deleted objects that are kept for followers of this replica.
@@ -97,8 +99,8 @@
 	return changes, full
 }
 
-func (s *state) listing(outageEnd time.Time) *Listing {
+func (s *state) listing(outageEnd time.Time, changes uint64) *Listing {
 	present := maps.Clone(s.objects)
 	maps.DeleteFunc(present, func(_ string, o storer.Object) bool { return o.Deleted })
-	return &Listing{Objects: present, Version: s.version, OutageEnd: outageEnd}
+	return &Listing{Objects: present, Version: s.version, OutageEnd: outageEnd, Changes: changes}
 }
--- a/follower/sync.go
+++ b/follower/sync.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"apricotspool/storer"
+	"apricotspool/timekeeper"
 )
 
 // sameOutageWindow is the maximum difference between the times at which two daemons notice the end of the
@@ -33,12 +34,14 @@
 	Age time.Duration
 	// SinceOutage is the time since the object API last responded again after a failed call; 0 for never.
 	SinceOutage time.Duration
+	// Held is how long the reader has held the call before it made the reply.
+	Held time.Duration
 }
 
 // check returns an error if a reply has values that no reader sends.
 func (r *SyncReply) check(prefix string) error {
-	if r.Age < 0 || r.SinceOutage < 0 {
-		return errors.Errorf("age %v and time since the outage %v must not be negative", r.Age, r.SinceOutage)
+	if r.Age < 0 || r.SinceOutage < 0 || r.Held < 0 {
+		return errors.Errorf("age %v, time since the outage %v and time held %v must not be negative", r.Age, r.SinceOutage, r.Held)
 	}
 	for _, o := range r.Objects {
 		if !strings.HasPrefix(o.Key, prefix) {
@@ -53,6 +56,7 @@
 	known, _ := f.currentVersion()
 	callCtx, cancel := context.WithTimeout(ctx, f.boundFraction(longPollFraction)+syncTimeoutSlack)
 	defer cancel()
+	callStart, callInstant := time.Now(), f.clock()
 	reply, err := f.Readers.Sync(callCtx, &SyncRequest{Prefix: f.Prefix, Known: known, Wait: f.boundFraction(longPollFraction)})
 	if err == nil {
 		err = reply.check(f.Prefix)
@@ -69,10 +73,12 @@
 		sleep(ctx, minBackoff) // the reader itself can't reach the object API
 		return
 	}
-	f.applyReply(reply)
+	f.applyReply(reply, callStart, callInstant)
 }
 
-func (f *Follower) applyReply(reply *SyncReply) {
+// applyReply applies the reply to a call. The reader made it when it had held the call, and not before: the reply may have been
+// on its way, or either daemon suspended, for any time since.
+func (f *Follower) applyReply(reply *SyncReply, callStart time.Time, callInstant timekeeper.Instant) {
 	now := time.Now()
 	if reply.SinceOutage > 0 {
 		f.mu.Lock()
@@ -83,11 +89,12 @@
 		f.failing = f.failing && end.Before(f.failedAt)
 		f.mu.Unlock()
 	}
-	confirmed := now.Add(-reply.Age)
+	held := min(reply.Held, now.Sub(callStart))
+	confirmed := callStart.Add(held - reply.Age)
 	if known, _ := f.currentVersion(); reply.Version < known {
 		confirmed = time.Time{} // an older state does not confirm the replica
 	}
-	f.update(confirmed, confirmed, func(s *state) bool {
+	f.update(confirmed, confirmed, callInstant.Add(held-reply.Age), func(s *state) bool {
 		if !reply.Full {
 			return s.applyChanges(storer.Changes{Objects: reply.Objects, Version: reply.Version})
 		}
@@ -104,17 +111,18 @@
 // Serve replies to a daemon that replicates from this one. It holds the call while nothing changes.
 func (f *Follower) Serve(ctx context.Context, request *SyncRequest) *SyncReply {
 	f.init()
+	received := f.clock()
 	timer := time.NewTimer(min(request.Wait, f.boundFraction(longPollFraction)))
 	defer timer.Stop()
 	for {
-		reply, changed := f.buildReply(request.Known)
+		reply, changed := f.buildReply(request.Known, received)
 		if len(reply.Objects) > 0 || (reply.Full && reply.Version > request.Known) {
 			return reply
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			reply, _ = f.buildReply(request.Known) // with the current age
+			reply, _ = f.buildReply(request.Known, received) // with the current age
 			return reply
 		case <-ctx.Done():
 			return reply
@@ -122,10 +130,10 @@
 	}
 }
 
-func (f *Follower) buildReply(known storer.Version) (*SyncReply, <-chan struct{}) {
+func (f *Follower) buildReply(known storer.Version, received timekeeper.Instant) (*SyncReply, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := &SyncReply{Ready: f.state.objects != nil, Age: time.Since(f.confirmed)}
+	reply := &SyncReply{Ready: f.state.objects != nil, Age: max(0, f.age()), Held: max(0, f.clock().Sub(received))}
 	if !reply.Ready {
 		return reply, f.changed
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -39,8 +39,10 @@
 	done    chan struct{}
 	current atomic.Pointer[[]Entry]
 
-	mu      sync.Mutex
-	changed chan struct{} // closed and replaced on each change
+	mu         sync.Mutex
+	changed    chan struct{} // closed and replaced on each change
+	generation uint64        // of the entries; counts the changes
+	applied    uint64        // follower.Listing.Changes of the listing that they come from
 
 	set     entrySet        // used only by Run
 	refused map[string]bool // keys whose last version was rejected; used only by Run
@@ -68,6 +70,13 @@
 	return nil
 }
 
+// Generation returns the number of changes of Entries, and the count of changes of the listing that they come from.
+func (r *Registrar) Generation() (generation, applied uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.generation, r.applied
+}
+
 // Changed returns a channel that is closed when Entries next changes.
 func (r *Registrar) Changed() <-chan struct{} {
 	r.init()
@@ -87,7 +96,7 @@
 		if listing := r.Source.Listing(); listing != nil {
 			recheckAfter := r.set.apply(time.Now(), listing, r.decode)
 			maps.DeleteFunc(r.refused, func(key string, _ bool) bool { _, present := listing.Objects[key]; return !present })
-			r.publish()
+			r.publish(listing.Changes)
 			if recheckAfter > 0 {
 				recheckTimer = time.After(recheckAfter)
 			}
@@ -117,20 +126,26 @@
 	return Entry{}, false
 }
 
-func (r *Registrar) publish() {
+func (r *Registrar) publish(applied uint64) {
 	entries := slices.SortedFunc(maps.Values(r.set.entries), func(a, b Entry) int {
 		if a.Name < b.Name {
 			return -1
 		}
 		return 1
 	})
-	if old := r.current.Load(); old != nil && slices.EqualFunc(*old, entries, Entry.equal) {
-		return
+	old := r.current.Load()
+	same := old != nil && slices.EqualFunc(*old, entries, Entry.equal)
+	if !same {
+		r.logChanges(entries)
 	}
-	r.logChanges(entries)
-	r.current.Store(&entries)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.applied = applied
+	if same {
+		return
+	}
+	r.current.Store(&entries)
+	r.generation++
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
