--- a/archivist/archivist.go
+++ b/archivist/archivist.go
@@ -15,9 +15,11 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"apricotspool/follower"
 	"apricotspool/historian"
 	"apricotspool/namer"
 	"apricotspool/storer"
+	"apricotspool/timekeeper"
 )
 
 // Prefix is the key prefix of the lists.
@@ -52,6 +54,9 @@
 	Store Store
 	// Services returns the current services, and the era of the object API that they were read in.
 	Services func() (map[namer.Service]Service, storer.Era)
+	// Confirmation says how current the services are, by Clock.
+	Confirmation func() follower.Confirmation
+	Clock        timekeeper.Clock
 	// ServicesChanged returns a channel that is closed when the services next change.
 	ServicesChanged func() <-chan struct{}
 	// Settling is the time within which all daemons learn of a new build.
@@ -67,19 +72,30 @@
 	seen    map[namer.Service]*historian.Builds // used by Run only
 	era     storer.Era                          // of the lists that were read; used by Run only
 	mu      sync.Mutex                          // guards the fields below
-	listed  map[namer.Service][]namer.Build
+	lists   map[namer.Service]publishedList
 	changed chan struct{}
+	// generation counts the changes of what Listed returns.
+	generation uint64
 }
 
-// list is the value of an object.
+// publishedList is a list that was read from the object API.
+type publishedList struct {
+	list
+	version storer.Version
+	read    timekeeper.Instant // it has not been older than this
+}
+
+// list is the value of an object. Both slices are sorted.
 type list struct {
 	Builds []namer.Build `json:"builds"`
+	// Settled are those of Builds that all daemons know, or know not to know. A daemon that starts needn't wait for this.
+	Settled []namer.Build `json:"settled,omitempty"`
 }
 
 func (a *Archivist) init() {
 	a.once.Do(func() {
 		a.done, a.changed = make(chan struct{}), make(chan struct{})
-		a.seen, a.listed, a.start = map[namer.Service]*historian.Builds{}, map[namer.Service][]namer.Build{}, time.Now()
+		a.seen, a.lists, a.start = map[namer.Service]*historian.Builds{}, map[namer.Service]publishedList{}, time.Now()
 	})
 }
 
@@ -90,11 +106,29 @@
 }
 
 // Listed returns the builds in the list of a service, or nil before it has been read. The slice must not be modified.
-func (a *Archivist) Listed(service namer.Service) []namer.Build {
+func (a *Archivist) Listed(service namer.Service) []namer.Build { return a.published(service).Builds }
+
+// Settled returns those of the builds in the list of a service that all daemons know. The slice must not be modified.
+func (a *Archivist) Settled(service namer.Service) []namer.Build { return a.published(service).Settled }
+
+func (a *Archivist) published(service namer.Service) publishedList {
+	a.init()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.lists[service]
+}
+
+// Generation returns the number of changes of what Listed returns, and an instant since which all lists have been read.
+func (a *Archivist) Generation() (generation uint64, read timekeeper.Instant) {
 	a.init()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.listed[service]
+	for _, list := range a.lists {
+		if read == 0 || list.read < read {
+			read = list.read
+		}
+	}
+	return a.generation, read
 }
 
 // Changed returns a channel that is closed when a list next changes.
@@ -126,15 +160,24 @@
 			return ctx.Err()
 		case <-changed:
 		case <-check.C:
+		case <-a.firstCheck():
 		}
 	}
 }
 
+// firstCheck returns a channel that delivers soon while no list has been read: no stream begins before that.
+func (a *Archivist) firstCheck() <-chan time.Time {
+	if generation, _ := a.Generation(); generation > 0 {
+		return nil
+	}
+	return time.After(startPeriod)
+}
+
 // update compares the lists with the services and writes those that differ.
 func (a *Archivist) update(ctx context.Context) error {
 	services, era := a.Services()
 	now := namer.SecondsOf(time.Since(a.start))
-	reread := era > a.era // a store that was restored from a backup may have lost lists
+	confirmation, instant := a.Confirmation(), a.Clock()
 	var failed error
 	for name, service := range services {
 		builds := a.seen[name]
@@ -144,8 +187,12 @@
 		}
 		builds.Lifetime, builds.Settling = namer.SecondsOf(service.Lifetime), namer.SecondsOf(a.Settling)
 		builds.Observe(now, service.Builds)
-		listed := a.Listed(name)
-		if !reread && listed != nil && covers(listed, builds.Known(now)) && !(a.removable(now, listed, builds) && a.Writes()) {
+		list := a.published(name)
+		// A store that was restored from a backup may have lost lists. During a gap in what this daemon knows, builds may have
+		// come, begun streams and gone.
+		reread := era > a.era || (list.read < confirmation.UnbrokenSince && instant >= confirmation.UnbrokenSince)
+		if !reread && list.Builds != nil && covers(list.Builds, builds.Known(now)) && !(a.removable(now, list, builds) && a.Writes()) &&
+			slices.Equal(list.Settled, a.settled(now, list.list, builds)) {
 			continue
 		}
 		if err := a.write(ctx, now, name, builds); err != nil {
@@ -158,9 +205,13 @@
 	return failed
 }
 
-// removable reports whether a list has builds whose last stream can't be taken up any more.
-func (a *Archivist) removable(now namer.Seconds, listed []namer.Build, builds *historian.Builds) bool {
-	return builds.Watched(now) && !covers(builds.Known(now), listed)
+// removable reports whether a list has builds whose last stream can't be taken up any more. The endpoints must have been
+// confirmed since it was read: a build may be listed before this daemon knows it.
+func (a *Archivist) removable(now namer.Seconds, list publishedList, builds *historian.Builds) bool {
+	confirmation := a.Confirmation()
+	unbroken := namer.SecondsOf(a.Clock().Sub(confirmation.UnbrokenSince))
+	return confirmation.Known && confirmation.At > list.read && unbroken > builds.Lifetime+builds.Settling &&
+		builds.Watched(now) && !covers(builds.Known(now), list.Builds)
 }
 
 func covers(list, all []namer.Build) bool {
@@ -172,37 +223,38 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	for waited := a.Writes(); ; waited = true {
+		read := a.Clock()
 		listed, version, err := a.read(ctx, name)
 		if err != nil {
 			return err
 		}
-		wanted := builds.Known(now)
-		if !a.removable(now, listed, builds) || !a.Writes() {
-			wanted = append(wanted, listed...)
-			slices.Sort(wanted)
-			wanted = slices.Compact(wanted)
+		wanted := list{Builds: builds.Known(now), Settled: listed.Settled}
+		before := a.published(name)
+		if before.version != version || !a.removable(now, before, builds) || !a.Writes() {
+			wanted.Builds = union(wanted.Builds, listed.Builds)
 		}
-		if slices.Equal(wanted, listed) && version != 0 {
-			a.publish(name, listed)
+		wanted.Settled = a.settled(now, wanted, builds)
+		if slices.Equal(wanted.Builds, listed.Builds) && slices.Equal(wanted.Settled, listed.Settled) && version != 0 {
+			a.publish(name, publishedList{listed, version, read})
 			return nil
 		}
 		if !waited {
 			a.wait(ctx)
 			continue
 		}
-		value, err := json.Marshal(list{wanted})
+		value, err := json.Marshal(wanted)
 		if err != nil {
 			return errors.Wrap(err, "encode list")
 		}
-		_, err = a.Store.Put(ctx, Prefix+string(name), value, version)
+		written, err := a.Store.Put(ctx, Prefix+string(name), value, version)
 		if errors.Is(err, storer.ErrConflict) {
 			continue // another daemon has written it
 		}
 		if err != nil {
 			return err
 		}
-		a.Log.Info().Str("service", string(name)).Int("builds", len(wanted)).Msg("builds-listed")
-		a.publish(name, wanted)
+		a.Log.Info().Str("service", string(name)).Int("builds", len(wanted.Builds)).Int("settled", len(wanted.Settled)).Msg("builds-listed")
+		a.publish(name, publishedList{wanted, written.Version, read})
 		return nil
 	}
 }
@@ -215,31 +267,50 @@
 	}
 }
 
-// read returns the list of a service, sorted, and its version; 0 if there is none.
-func (a *Archivist) read(ctx context.Context, name namer.Service) ([]namer.Build, storer.Version, error) {
+// settled returns the builds of a list that all daemons know: those listed so that haven't been gone for long, and those that
+// this daemon has seen serve for long enough.
+func (a *Archivist) settled(now namer.Seconds, l list, builds *historian.Builds) []namer.Build {
+	confirmation := a.Confirmation()
+	if !confirmation.Known || a.Clock().Sub(confirmation.At) > a.Settling {
+		return l.Settled // what has changed isn't known
+	}
+	settled := union(l.Settled, builds.Settled(now))
+	return slices.DeleteFunc(settled, func(b namer.Build) bool { return !slices.Contains(l.Builds, b) || builds.Unsettled(now, b) })
+}
+
+// union returns the builds of two sets, sorted.
+func union(a, b []namer.Build) []namer.Build {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// read returns the list of a service and its version; 0 if there is none.
+func (a *Archivist) read(ctx context.Context, name namer.Service) (list, storer.Version, error) {
 	object, err := a.Store.Get(ctx, Prefix+string(name))
 	if errors.Is(err, storer.ErrNotFound) {
-		return nil, 0, nil
+		return list{}, 0, nil
 	}
 	if err != nil {
-		return nil, 0, err
+		return list{}, 0, err
 	}
 	var found list
-	if err := json.Unmarshal(object.Value, &found); err != nil || len(found.Builds) > maxBuilds || slices.Contains(found.Builds, "") {
+	if err := json.Unmarshal(object.Value, &found); err != nil || len(found.Builds) > maxBuilds || slices.Contains(found.Builds, "") || !covers(found.Builds, found.Settled) {
 		a.Log.Warn().Err(err).Str("service", string(name)).Msg("builds-refused") // it is replaced
-		return nil, object.Version, nil
+		return list{}, object.Version, nil
 	}
-	slices.Sort(found.Builds)
-	return slices.Compact(found.Builds), object.Version, nil
+	return list{union(found.Builds, nil), union(found.Settled, nil)}, object.Version, nil
 }
 
-func (a *Archivist) publish(name namer.Service, builds []namer.Build) {
+func (a *Archivist) publish(name namer.Service, list publishedList) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if slices.Equal(a.listed[name], builds) {
+	before := a.lists[name]
+	a.lists[name] = list
+	if before.Builds != nil && slices.Equal(before.Builds, list.Builds) && slices.Equal(before.Settled, list.Settled) {
 		return
 	}
-	a.listed[name] = builds
+	a.generation++
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
--- a/archivist/archivist_test.go
+++ b/archivist/archivist_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"testing"
@@ -11,9 +12,11 @@
 	"github.com/matryer/is"
 
 	"apricotspool/archivist"
+	"apricotspool/follower"
 	"apricotspool/imitator"
 	"apricotspool/namer"
 	"apricotspool/storer"
+	"apricotspool/timekeeper"
 )
 
 // site is a service whose endpoints change.
@@ -22,8 +25,14 @@
 	builds  map[namer.Build]bool
 	era     storer.Era
 	changed chan struct{}
+
+	unbrokenSince timekeeper.Instant
+	stale         *follower.Confirmation // if set
 }
 
+// clock is virtual in a bubble of synctest.
+func clock() timekeeper.Instant { return timekeeper.Instant(time.Now().UnixNano()) }
+
 func newSite(builds ...namer.Build) *site {
 	s := &site{changed: make(chan struct{})}
 	s.set(builds...)
@@ -56,7 +65,15 @@
 func (s *site) start(t *testing.T, store archivist.Store, writes bool) *archivist.Archivist {
 	a := &archivist.Archivist{
 		Store: store, Services: s.services, ServicesChanged: s.servicesChanged, Settling: 2 * time.Second,
-		Writes: func() bool { return writes },
+		Writes: func() bool { return writes }, Clock: clock,
+		Confirmation: func() follower.Confirmation {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.stale != nil {
+				return *s.stale
+			}
+			return follower.Confirmation{Known: true, At: clock(), UnbrokenSince: s.unbrokenSince}
+		},
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	go a.Run(ctx)
@@ -96,6 +113,89 @@
 	})
 }
 
+// Guards against a build that is removed from the list by a daemon which doesn't know it yet.
+func TestStaleDaemonRemovesNoBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var store imitator.Store
+		s := newSite("v1")
+		s.start(t, &store, true)
+		time.Sleep(20 * time.Second) // long enough to know what has served
+		s.mu.Lock()
+		s.stale = &follower.Confirmation{Known: true, At: clock()}
+		s.mu.Unlock()
+		listed, err := store.Get(t.Context(), archivist.Prefix+"llm")
+		is.NoErr(err)
+		time.Sleep(time.Millisecond)
+		listed, err = store.Put(t.Context(), listed.Key, []byte(`{"builds":["v1","v2"]}`), listed.Version)
+		is.NoErr(err)
+		s.mu.Lock()
+		s.era++ // reads the list again
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		found, err := store.Get(t.Context(), archivist.Prefix+"llm")
+		is.NoErr(err)
+		is.Equal(buildsOf(t, found), []namer.Build{"v1", "v2"})
+	})
+}
+
+// buildsOf returns the builds in a list.
+func buildsOf(t *testing.T, o storer.Object) []namer.Build {
+	t.Helper()
+	var list struct{ Builds []namer.Build }
+	is.New(t).NoErr(json.Unmarshal(o.Value, &list))
+	return list.Builds
+}
+
+// Guards against a daemon that starts and takes a new build for one that all daemons know, and against one that waits for
+// builds that have served for long.
+func TestSettledBuilds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var store imitator.Store
+		s := newSite("v1")
+		s.start(t, &store, true)
+		time.Sleep(20 * time.Second)
+		s.set("v1", "v2")
+		time.Sleep(1500 * time.Millisecond)
+		started := s.start(t, &store, false)
+		synctest.Wait()
+		is.Equal(started.Listed("llm"), []namer.Build{"v1", "v2"})
+		is.Equal(started.Settled("llm"), []namer.Build{"v1"})
+		time.Sleep(3 * time.Second)
+		started = s.start(t, &store, false)
+		synctest.Wait()
+		is.Equal(started.Settled("llm"), []namer.Build{"v1", "v2"})
+		s.set("v1")
+		time.Sleep(7 * time.Second) // over half of the time after which daemons forget v2
+		started = s.start(t, &store, false)
+		synctest.Wait()
+		is.Equal(started.Listed("llm"), []namer.Build{"v1", "v2"})
+		is.Equal(started.Settled("llm"), []namer.Build{"v1"})
+	})
+}
+
+// Guards against a list that is taken for current after a gap in which other daemons may have changed it.
+func TestListIsReadAfterGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var store imitator.Store
+		s := newSite("v1")
+		a := s.start(t, &store, true)
+		time.Sleep(5 * time.Second)
+		_, before := a.Generation()
+		time.Sleep(5 * time.Second)
+		_, read := a.Generation()
+		is.Equal(read, before)
+		s.mu.Lock()
+		s.unbrokenSince = clock()
+		s.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		_, read = a.Generation()
+		is.True(read >= s.unbrokenSince)
+	})
+}
+
 // Guards against a list that stays as a restored store has it, and against one that another writer has spoilt.
 func TestListIsWrittenAgain(t *testing.T) {
 	for name, value := range map[string]string{"older": `{"builds":["v1"]}`, "unreadable": `[`, "without names": `{"builds":[""]}`} {
@@ -116,7 +216,7 @@
 				time.Sleep(2 * time.Second)
 				found, err := store.Get(t.Context(), archivist.Prefix+"llm")
 				is.NoErr(err)
-				is.Equal(string(found.Value), `{"builds":["v1","v2"]}`)
+				is.Equal(buildsOf(t, found), []namer.Build{"v1", "v2"})
 				is.Equal(a.Listed("llm"), []namer.Build{"v1", "v2"})
 			})
 		})
--- a/assembler/corepeers.go
+++ b/assembler/corepeers.go
@@ -39,7 +39,7 @@
 }
 
 // receiver returns the datagram handler that passes messages to the core.
-func (p *corePeers) receiver(core *placer.Core, d *dispatcher.Dispatcher) func(netip.AddrPort, []byte) {
+func (p *corePeers) receiver(core *placer.Core, d *dispatcher.Dispatcher, confirmation func() decider.Confirmation) func(netip.AddrPort, []byte) {
 	return func(_ netip.AddrPort, data []byte) {
 		var e envelope
 		if err := messenger.Unmarshal(data, &e); err != nil {
@@ -50,6 +50,11 @@
 			p.datagrams.Log.Warn().Err(err).Str("daemon", string(e.From)).Msg("datagram-not-valid")
 			return
 		}
-		d.Act(func(now time.Time) []decider.Action { return core.Receive(now, e.From, e.Message) })
+		d.Act(func(now time.Time) []decider.Action {
+			if e.Message.Origins != nil {
+				core.Confirm(now, confirmation())
+			}
+			return core.Receive(now, e.From, e.Message)
+		})
 	}
 }
--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -26,6 +26,7 @@
 	"apricotspool/registrar"
 	"apricotspool/relayer"
 	"apricotspool/storer"
+	"apricotspool/timekeeper"
 )
 
 // OpenStore returns a client of the object API that reports the kind of each call to calls.
@@ -118,7 +119,7 @@
 	readers := &readerSelector{self: g.announcer.Self, seeds: g.Settings.Seeds, announcer: g.announcer, client: g.peerClient()}
 	g.announcer.Readers = readers
 	g.config = &follower.Follower{Source: store, Prefix: g.Platform.ConfigPrefix, StalenessBound: g.Settings.StalenessBounds.Configuration.Std(), Readers: readers, Log: g.Log.Events}
-	g.entries = &follower.Follower{Source: store, Prefix: g.Platform.EntryPrefix, StalenessBound: g.Settings.StalenessBounds.Endpoints.Std(), MaxValueBytes: maxEntryBytes, Readers: readers, Log: g.Log.Events}
+	g.entries = &follower.Follower{Source: store, Prefix: g.Platform.EntryPrefix, StalenessBound: g.Settings.StalenessBounds.Endpoints.Std(), MaxValueBytes: maxEntryBytes, Readers: readers, Clock: timekeeper.Now, Log: g.Log.Events}
 	g.registrar = &registrar.Registrar{Source: g.entries, Decode: g.Platform.DecodeEntry, OnRefused: g.metrics.Counter("apricotspool_entries_refused_total").Inc, Log: g.Log.Events}
 	seed := xxhash.Sum64String(string(g.Settings.Host)) ^ uint64(time.Now().UnixNano())
 	core := &placer.Core{Self: g.Settings.Host, DataCentre: g.Settings.DataCentre, Seed: seed, Retries: placer.Retries{
@@ -127,17 +128,17 @@
 	g.datagrams = &messenger.Datagrams{Socket: socket, Log: g.Log.Events}
 	peers := &corePeers{self: g.Settings.Host, announcer: g.announcer, datagrams: g.datagrams}
 	g.dispatcher = &dispatcher.Dispatcher{Core: core, Retries: g.metrics, Peers: peers, Log: g.Log.Events}
-	g.datagrams.Receive = peers.receiver(core, g.dispatcher)
 	g.fleet = &gatewayFleet{
 		settings: g.Settings, platform: g.Platform, config: g.config, entries: g.entries, registrar: g.registrar, announcer: g.announcer,
-		dispatcher: g.dispatcher, log: g.Log.Events,
+		dispatcher: g.dispatcher, core: core, log: g.Log.Events,
 	}
+	g.datagrams.Receive = peers.receiver(core, g.dispatcher, g.fleet.Confirmation)
 	g.connectArchivist(core)
 	g.keptParts = &keptParts{core, g.fleet}
 	g.endpoints = &forwarder.Client{EchoHeader: g.Platform.EchoHeader}
 	g.relayer = &relayer.Relayer{
 		Table: g.fleet.Table, Target: g.fleet.Target, Dialect: g.Platform.Dialect, Dispatcher: g.dispatcher,
-		Endpoints: g.endpoints, Metrics: g.metrics, Log: g.Log.Requests,
+		Endpoints: g.endpoints, Metrics: g.metrics, Log: g.Log.Requests, Confirmation: g.fleet.Confirmation,
 	}
 	g.connectRoles(core)
 }
--- a/assembler/gatewaybuilds.go
+++ b/assembler/gatewaybuilds.go
@@ -9,13 +9,14 @@
 	"apricotspool/namer"
 	"apricotspool/placer"
 	"apricotspool/storer"
+	"apricotspool/timekeeper"
 )
 
 // connectArchivist builds the component that lists the builds of services whose streams callers can take up.
 func (g *Gateway) connectArchivist(core *placer.Core) {
 	g.archivist = &archivist.Archivist{
 		Store: g.announcer.Store, Services: g.fleet.resumableServices, ServicesChanged: g.registrar.Changed,
-		Settling: g.Settings.StalenessBounds.Endpoints.Std(), Log: g.Log.Events,
+		Settling: g.Settings.StalenessBounds.Endpoints.Std(), Confirmation: g.entries.Confirmation, Clock: timekeeper.Now, Log: g.Log.Events,
 		Writes: func() bool { return competesForRoles(g.Settings.Host, g.announcer.Members()) },
 	}
 	g.fleet.archivist = g.archivist
--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync/atomic"
@@ -19,8 +20,10 @@
 	"apricotspool/loader"
 	"apricotspool/matcher"
 	"apricotspool/namer"
+	"apricotspool/placer"
 	"apricotspool/registrar"
 	"apricotspool/storer"
+	"apricotspool/timekeeper"
 )
 
 // gatewayFleet publishes the active routing table and the endpoints' addresses, and passes the fleet to the
@@ -34,17 +37,30 @@
 	announcer  *announcer.Announcer
 	archivist  *archivist.Archivist
 	dispatcher *dispatcher.Dispatcher
+	core       *placer.Core // used on the dispatcher's goroutine only
 	log        zerolog.Logger
 
 	configObjectVersion storer.Version // version of the configuration's object in the store
 
 	table      atomic.Pointer[matcher.Table]
 	targets    atomic.Pointer[map[namer.Endpoint]forwarder.Target]
+	built      atomic.Pointer[builtFrom]
 	configured atomic.Bool // the core has received the fleet
+	listed     atomic.Bool // and the lists of builds, before which no stream begins
+	// configuredAt is when configured was set; used by Run only.
+	configuredAt time.Time
 	// ownEntryRead is set when the core has received this daemon's own entry, which may be from an earlier start.
 	ownEntryRead atomic.Bool
 }
 
+// builtFrom says what a fleet was built from.
+type builtFrom struct {
+	fleet, entries, lists uint64 // generations
+}
+
+// confirmPeriod is how often the core is told how current the fleet is.
+const confirmPeriod = 200 * time.Millisecond
+
 // Table returns the active routing table, or nil before the first configuration.
 func (f *gatewayFleet) Table() *matcher.Table { return f.table.Load() }
 
@@ -58,29 +74,89 @@
 	return target, known
 }
 
-// Ready reports whether both the routing table and the endpoints are known.
-func (f *gatewayFleet) Ready() bool { return f.configured.Load() }
+// Ready reports whether the routing table, the endpoints and the lists of builds are known. Without the lists the daemon serves
+// what doesn't need them after a while.
+func (f *gatewayFleet) Ready() bool { return f.configured.Load() && f.listed.Load() }
+
+// checkListed sets listed if the lists of builds have been read, or not for too long.
+func (f *gatewayFleet) checkListed() {
+	if f.listed.Load() || !f.configured.Load() {
+		return
+	}
+	if f.configuredAt.IsZero() {
+		f.configuredAt = time.Now()
+	}
+	_, known := f.severalBuilds()
+	limit := cmp.Or(f.settings.StalenessBounds.Endpoints.Std(), follower.DefaultStalenessBound)
+	if (known && f.Confirmation().Known) || time.Since(f.configuredAt) > limit {
+		f.listed.Store(true)
+	}
+}
 
 // Run applies changes of the configuration, the endpoints and the membership until ctx ends.
 func (f *gatewayFleet) Run(ctx context.Context) error {
+	confirm := time.NewTicker(confirmPeriod)
+	defer confirm.Stop()
 	for {
 		config, entries, members, builds := f.config.Changed(), f.registrar.Changed(), f.announcer.Changed(), f.archivist.Changed()
 		if err := f.update(ctx); err != nil {
 			return err
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-config:
-		case <-entries:
-		case <-members:
-		case <-builds:
+		for unchanged := true; unchanged; {
+			f.confirm()
+			f.checkListed()
+			select {
+			case <-confirm.C:
+				continue
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-config:
+			case <-entries:
+			case <-members:
+			case <-builds:
+			}
+			unchanged = false
 		}
 	}
 }
 
+// nextBuild returns what the next fleet is built from, as of before it is read.
+func (f *gatewayFleet) nextBuild() builtFrom {
+	next := builtFrom{fleet: 1}
+	if last := f.built.Load(); last != nil {
+		next.fleet = last.fleet + 1
+	}
+	next.entries, _ = f.registrar.Generation()
+	next.lists, _ = f.archivist.Generation()
+	return next
+}
+
+// confirm tells the core how current the fleet is.
+func (f *gatewayFleet) confirm() {
+	f.dispatcher.Act(func(now time.Time) []decider.Action {
+		f.core.Confirm(now, f.Confirmation())
+		return nil
+	})
+}
+
+// Confirmation says how current the fleet is that was last passed to the core.
+func (f *gatewayFleet) Confirmation() decider.Confirmation {
+	replica, instant := f.entries.Confirmation(), timekeeper.Now()
+	entries, applied := f.registrar.Generation()
+	lists, read := f.archivist.Generation()
+	built := f.built.Load()
+	if !replica.Known || applied != replica.Changes || built == nil || built.entries != entries || built.lists != lists {
+		return decider.Confirmation{} // the core lacks a change
+	}
+	return decider.Confirmation{
+		Known: true, Generation: built.fleet, Age: instant.Sub(replica.At), Unbroken: instant.Sub(replica.UnbrokenSince),
+		Gaps: replica.Gaps, Gap: replica.Gap, ListAge: instant.Sub(read),
+	}
+}
+
 func (f *gatewayFleet) update(ctx context.Context) error {
 	f.applyNewestConfig()
+	built := f.nextBuild()
 	table, entries := f.table.Load(), f.registrar.Entries()
 	if table == nil || entries == nil {
 		return nil
@@ -91,6 +167,8 @@
 	}
 	f.targets.Store(&targets)
 	fleet := f.buildFleet(table, entries)
+	fleet.Generation = built.fleet
+	f.built.Store(&built)
 	if err := f.dispatcher.Configure(ctx, fleet); err != nil {
 		return err
 	}
@@ -133,7 +211,7 @@
 	}
 	fleet.Hosts = len(fleet.Members)
 	for name, s := range table.Services {
-		view := decider.ServiceView{Name: name, Plain: s.Engine == nil, StreamLifetime: table.StreamLifetime(name), Builds: f.archivist.Listed(name)}
+		view := decider.ServiceView{Name: name, Plain: s.Engine == nil, StreamLifetime: table.StreamLifetime(name), Builds: f.archivist.Listed(name), Settled: f.archivist.Settled(name)}
 		if s.Engine != nil {
 			view.Backups, view.EventTokens, view.KVTransfer = s.Engine.Backups, s.Engine.EventTokens, s.Engine.KVTransfer
 		}
--- a/decider/event.go
+++ b/decider/event.go
@@ -48,6 +48,8 @@
 	Stream    historian.StreamKey
 	Continues bool
 	Lifetime  time.Duration
+	// Confirmation says how current the fleet is, for a request that takes up a stream. It is not older than the request.
+	Confirmation Confirmation
 	// Fingerprint is the same for requests that are the same to an endpoint; 0 if unknown.
 	Fingerprint Fingerprint
 }
--- a/decider/fleet.go
+++ b/decider/fleet.go
@@ -18,6 +18,8 @@
 	Models     []ModelView
 	// Settling is the time within which all daemons learn of a change of the endpoints.
 	Settling time.Duration
+	// Generation distinguishes fleets; see Confirmation.
+	Generation uint64
 	// TransferRate is the bandwidth of KV cache transfers between engines, in bytes per second; 0 means
 	// DefaultTransferRate.
 	TransferRate float64
@@ -64,7 +66,9 @@
 	// StreamLifetime is the longest time from a stream's begin until a caller takes it up; 0 if none can be taken up.
 	StreamLifetime time.Duration
 	// Builds are those that the object API lists: all that may have begun streams which can be taken up. Nil if unknown.
-	Builds   []namer.Build
+	Builds []namer.Build
+	// Settled are those of Builds that all daemons know, or know not to know.
+	Settled  []namer.Build
 	Deadline time.Duration
 }
 
--- a/historian/builds.go
+++ b/historian/builds.go
@@ -21,6 +21,7 @@
 	since    namer.Seconds // when Observe was first called
 	seen     map[namer.Build]*span
 	listed   map[namer.Build]bool // in the object API; nil until it has been read
+	settled  map[namer.Build]bool // listed as builds that begin streams
 }
 
 // span is the time in which a build has served.
@@ -42,10 +43,15 @@
 		}
 	}
 	for build := range present {
-		if b.seen[build] == nil {
-			b.seen[build] = &span{first: now, initial: initial}
+		s := b.seen[build]
+		if s == nil {
+			s = &span{first: now, initial: initial}
+			b.seen[build] = s
 		}
-		b.seen[build].present = true
+		if !s.present && s.last > 0 && now-s.last > b.Lifetime { // others may have forgotten it
+			s.first, s.initial = now, false
+		}
+		s.present = true
 	}
 	b.expire(now)
 }
@@ -55,24 +61,37 @@
 	maps.DeleteFunc(b.seen, func(_ namer.Build, s *span) bool { return !s.present && now-s.last > b.Lifetime+b.Settling })
 }
 
-// SetListed sets the builds that the object API lists. A build is listed there before it begins streams, and until its
-// last one can't be taken up.
-func (b *Builds) SetListed(builds []namer.Build) {
-	b.listed = map[namer.Build]bool{}
+// SetListed sets the builds that the object API lists, and those of them that are known to all daemons. A build is listed there
+// before it begins streams, and until its last one can't be taken up.
+func (b *Builds) SetListed(builds, settled []namer.Build) {
+	b.listed, b.settled = setOf(builds), setOf(settled)
+}
+
+func setOf(builds []namer.Build) map[namer.Build]bool {
+	set := map[namer.Build]bool{}
 	for _, build := range builds {
-		b.listed[build] = true
+		set[build] = true
 	}
+	return set
+}
+
+// Currency says how current the observations are. The zero value makes nothing certain.
+type Currency struct {
+	Age      namer.Seconds // since the builds that serve were confirmed
+	Unbroken namer.Seconds // for which no build that began streams can have been missed
+	ListAge  namer.Seconds // since the list was read
 }
 
 // Only returns the build with which all streams have begun that callers may take up now. It reports false if there are
-// several, or if this daemon hasn't watched for long enough to know.
-func (b *Builds) Only(now namer.Seconds) (namer.Build, bool) {
+// several, or if this daemon can't know: another build may have begun streams since the builds were confirmed, in a gap of
+// the observations, or before the first one.
+func (b *Builds) Only(now namer.Seconds, c Currency) (namer.Build, bool) {
 	b.expire(now)
-	if len(b.seen) != 1 {
+	if len(b.seen) != 1 || c.Age > certainFraction*b.Settling {
 		return "", false
 	}
 	for build := range b.seen {
-		if (len(b.listed) == 1 && b.listed[build]) || b.Watched(now) {
+		if (len(b.listed) == 1 && b.listed[build] && c.ListAge < c.Unbroken) || (c.Unbroken > b.Lifetime+b.Settling && b.Watched(now)) {
 			return build, true
 		}
 	}
@@ -91,18 +110,36 @@
 	return b.watching && now-b.since > b.Lifetime+b.Settling
 }
 
-// beginFraction is the part of Settling after which all daemons know a new build while they reach the object API: they read
-// it again after two fifths.
-const beginFraction = 0.5
+// A daemon concludes from its observations that a build doesn't serve while they are newer than certainFraction of Settling.
+// A build begins streams when it has served for beginFraction, so that whoever doesn't know it by then concludes nothing.
+const (
+	certainFraction = 0.75
+	beginFraction   = 0.8
+)
 
-// MayBegin reports whether a build may begin streams: it is listed, and the daemons know that it serves.
+// MayBegin reports whether a build may begin streams: it is listed, and no daemon concludes any more that it doesn't serve.
 func (b *Builds) MayBegin(now namer.Seconds, build namer.Build) bool {
+	left, listed := b.BeginsIn(now, build)
+	return listed && left <= 0
+}
+
+// BeginsIn returns the time until a build that serves may begin streams, once it is listed.
+func (b *Builds) BeginsIn(now namer.Seconds, build namer.Build) (left namer.Seconds, listed bool) {
+	if b.Lifetime <= 0 {
+		return 0, true
+	}
 	s := b.seen[build]
-	return b.Lifetime <= 0 || (s != nil && b.listed[build] && (s.initial || now-s.first >= beginFraction*b.Settling))
+	if s == nil {
+		return beginFraction * b.Settling, false
+	}
+	if s.initial && (len(b.listed) == 1 || b.settled[build]) && b.listed[build] {
+		return 0, true
+	}
+	return s.first + beginFraction*b.Settling - now, b.listed[build]
 }
 
-// Settled reports whether all builds that serve may begin streams.
-func (b *Builds) Settled(now namer.Seconds) bool {
+// AllBegin reports whether all builds that serve may begin streams.
+func (b *Builds) AllBegin(now namer.Seconds) bool {
 	for build, s := range b.seen {
 		if s.present && !b.MayBegin(now, build) {
 			return false
@@ -110,3 +147,32 @@
 	}
 	return true
 }
+
+// Settled returns the builds that serve and are known to all daemons, sorted.
+func (b *Builds) Settled(now namer.Seconds) []namer.Build {
+	var settled []namer.Build
+	for build, s := range b.seen {
+		if left, _ := b.BeginsIn(now, build); s.present && left <= 0 {
+			settled = append(settled, build)
+		}
+	}
+	slices.Sort(settled)
+	return settled
+}
+
+// Unsettled reports whether a build has been gone for so long that daemons may soon forget it.
+func (b *Builds) Unsettled(now namer.Seconds, build namer.Build) bool {
+	s := b.seen[build]
+	return s == nil || (!s.present && now-s.last > b.Lifetime/2)
+}
+
+// Missed records that the observations have had a gap. A build that has served before and after one that is longer than a
+// stream can be taken up may have been gone meanwhile, so that others don't know it any more.
+func (b *Builds) Missed(now, gap namer.Seconds) {
+	if gap <= b.Lifetime {
+		return
+	}
+	for _, s := range b.seen {
+		s.first, s.initial = now, false
+	}
+}
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -52,10 +52,10 @@
 		t.Run(name, func(t *testing.T) {
 			b := &historian.Builds{Lifetime: 10, Settling: 2}
 			if c.listed != nil {
-				b.SetListed(c.listed)
+				b.SetListed(c.listed, nil)
 			}
 			c.observe(b)
-			only, _ := b.Only(c.at)
+			only, _ := b.Only(c.at, historian.Currency{Unbroken: c.at + 1})
 			is.New(t).Equal(only, c.only)
 		})
 	}
@@ -67,14 +67,54 @@
 	b := &historian.Builds{Lifetime: 10, Settling: 2}
 	b.Observe(0, set("v1"))
 	is.True(!b.MayBegin(0, "v1")) // not listed
-	b.SetListed([]namer.Build{"v1"})
+	b.SetListed([]namer.Build{"v1"}, nil)
 	is.True(b.MayBegin(0, "v1"))
 	b.Observe(20, set("v1", "v2"))
-	b.SetListed([]namer.Build{"v1", "v2"})
-	is.True(!b.MayBegin(20.9, "v2"))
-	is.True(!b.Settled(20.9))
-	is.True(b.MayBegin(21, "v2"))
-	is.True(b.Settled(21))
+	b.SetListed([]namer.Build{"v1", "v2"}, nil)
+	is.True(!b.MayBegin(21.5, "v2")) // a daemon whose observations are that old still takes v1 for the only build
+	_, only := b.Only(20, historian.Currency{Age: 1.5, Unbroken: 20})
+	is.True(!only)
+	is.True(b.MayBegin(21.7, "v2"))
+	left, listed := b.BeginsIn(20, "v2")
+	is.True(left > 1.5 && left < 1.7)
+	is.True(listed)
+	b.Observe(30, set("v1"))
+	b.Observe(41, set("v1", "v2")) // others may have forgotten it
+	is.True(!b.MayBegin(42, "v2"))
+	is.True(b.MayBegin(43, "v2"))
+	b.Missed(50, 5)
+	is.True(b.MayBegin(50, "v2"))
+	b.Missed(50, 11) // it may have been gone in the gap
+	is.True(!b.MayBegin(51, "v2"))
+	is.True(b.MayBegin(52, "v2"))
+}
+
+// Guards against a build that counts as the only one at a daemon which couldn't have seen another one: its observations are
+// old, have just had a gap, or the list is from before the gap.
+func TestOnlyBuildNeedsCurrentObservations(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed   bool
+		currency historian.Currency
+		certain  bool
+	}{
+		"current":                           {false, historian.Currency{Age: 1.4, Unbroken: 12.1}, true},
+		"old":                               {false, historian.Currency{Age: 1.6, Unbroken: 12.1}, false},
+		"after a gap":                       {false, historian.Currency{Unbroken: 11.9}, false},
+		"after a gap, listed since":         {true, historian.Currency{Unbroken: 1, ListAge: 0.5}, true},
+		"after a gap, listed before":        {true, historian.Currency{Unbroken: 1, ListAge: 1.5}, false},
+		"listed, old":                       {true, historian.Currency{Age: 1.6, Unbroken: 12.1, ListAge: 0.5}, false},
+		"restored store, incomplete as yet": {true, historian.Currency{Unbroken: -1}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &historian.Builds{Lifetime: 10, Settling: 2}
+			if c.listed {
+				b.SetListed([]namer.Build{"v1"}, nil)
+			}
+			b.Observe(0, set("v1"))
+			_, certain := b.Only(20, c.currency)
+			is.New(t).Equal(certain, c.certain)
+		})
+	}
 }
 
 // Guards against origins that change, stay for ever, outlive doubt, or take memory without bound.
--- /dev/null
+++ b/placer/builds_test.go
@@ -0,0 +1,90 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"apricotspool/classifier"
+	"apricotspool/decider"
+	"apricotspool/historian"
+	"apricotspool/namer"
+)
+
+// addBuild adds an engine of build v2, which the object API lists.
+func (d *originDaemons) addBuild() {
+	d.view.Services[0].Builds = []namer.Build{"v1", "v2"}
+	d.view.Endpoints = append(d.view.Endpoints, decider.EndpointView{Name: "c", Service: service, Role: namer.RoleDecode, Concurrency: 64, Build: "v2"})
+}
+
+// Guards against a stream that begins at a build before all daemons know it, also if no other engine can take it; and against
+// a caller that is told to come back before that.
+func TestStreamWaitsForItsBuild(t *testing.T) {
+	is := is.New(t)
+	d := newOriginDaemons(t, "h-1")
+	d.addBuild()
+	d.view.Endpoints[0].Leaving, d.view.Endpoints[1].Leaving = true, true
+	d.configure(20 * time.Second)
+	d.send(20100*time.Millisecond, "h-1", 7, false)
+	is.Equal(d.refused, classifier.NoEndpoint)
+	is.True(d.retry >= 500*time.Millisecond && d.retry <= 900*time.Millisecond) // 0.7 s are left; spread by a quarter
+	d.send(20850*time.Millisecond, "h-1", 8, false)
+	is.Equal(d.sentTo.Build, namer.Build("v2"))
+}
+
+// Guards against a daemon that starts while several builds are listed and lets streams begin at once: one of the builds may
+// have come just before, so that others don't know it.
+func TestDaemonThatStartsWaitsForItsBuilds(t *testing.T) {
+	for name, several := range map[string]bool{"one build": false, "several builds": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newOriginDaemons(t)
+			if several {
+				d.addBuild()
+			}
+			d.start("h-1", 30*time.Second)
+			d.send(30100*time.Millisecond, "h-1", 7, false)
+			is.Equal(d.refused != "", several)
+			d.send(30900*time.Millisecond, "h-1", 8, false)
+			is.Equal(d.refused, classifier.Outcome(""))
+		})
+	}
+}
+
+// Guards against a daemon that continues a stream at the only build that it knows while it can't know of another one; and
+// against refusing a stream that another daemon knows.
+func TestStaleDaemonAsksForOrigin(t *testing.T) {
+	is := is.New(t)
+	d := newOriginDaemons(t, "h-1", "h-2", "h-3")
+	d.send(20*time.Second, "h-1", 7, false)
+	d.age = 800 * time.Millisecond
+	d.confirm(21 * time.Second)
+	d.send(21*time.Second, "h-2", 7, true) // known to h-1, which began it
+	is.Equal(d.sentTo.Build, namer.Build("v1"))
+	d.send(21*time.Second, "h-2", 8, true)
+	is.Equal(d.refused, classifier.StreamUnknown)
+	d.age = 0
+	d.confirm(22 * time.Second)
+	d.send(22*time.Second, "h-2", 8, true)
+	is.Equal(d.sentTo.Build, namer.Build("v1"))
+}
+
+// Guards against streams of one build that are lost with their daemon in an outage of the object API: while nobody can know
+// that there is no other build, the other daemons must know the streams.
+func TestStreamsAreToldInOutage(t *testing.T) {
+	is := is.New(t)
+	d := newOriginDaemons(t, "h-1", "h-2", "h-3")
+	d.tick(19 * time.Second)
+	d.send(20*time.Second, "h-1", 7, false)
+	d.age = 800 * time.Millisecond
+	d.confirm(21 * time.Second)
+	d.tick(21 * time.Second)
+	d.send(22*time.Second, "h-1", 8, false)
+	delete(d.cores, "h-1")
+	for _, key := range []historian.StreamKey{7, 8} {
+		d.send(23*time.Second, "h-2", key, true)
+		is.Equal(d.refused, classifier.Outcome(""))
+		is.Equal(d.sentTo.Build, namer.Build("v1"))
+	}
+}
--- a/placer/core.go
+++ b/placer/core.go
@@ -46,6 +46,10 @@
 	quarantine          quarantine
 	originAsks          map[originAsk][]*request // that wait for the origin of their stream
 	learned             bool
+
+	generation   uint64 // of the fleet
+	confirmation decider.Confirmation
+	confirmedAt  namer.Seconds // when it was passed
 }
 
 // pool holds the endpoints of one service.
@@ -62,7 +66,8 @@
 	returns        returns
 	builds         historian.Builds
 	origins        historian.Origins
-	originsUntold  bool // a second build has appeared
+	only           bool // all streams are known to have one build
+	originsUntold  bool // they no longer are
 }
 
 // request is a request that has not been refused, finished or cancelled.
@@ -148,6 +153,7 @@
 // Configure replaces the fleet. The state of endpoints that remain is kept.
 func (c *Core) Configure(now time.Time, fleet decider.Fleet) {
 	c.ensureInit(now)
+	c.generation = fleet.Generation
 	c.setMembers(fleet.Members)
 	c.mergeBlocked(c.seconds(now), fleet.Members)
 	for _, p := range c.pools {
@@ -164,7 +170,7 @@
 		p.kvTransfer = namer.SecondsOf(s.KVTransfer)
 		p.builds.Lifetime, p.builds.Settling = namer.SecondsOf(s.StreamLifetime), namer.SecondsOf(fleet.Settling)
 		if s.Builds != nil {
-			p.builds.SetListed(s.Builds)
+			p.builds.SetListed(s.Builds, s.Settled)
 		}
 	}
 	for _, view := range fleet.Endpoints {
@@ -221,6 +227,9 @@
 	}
 	q.pool.retryBudget.recordRequest(at, c.Retries)
 	q.pool.recordTarget(at, q)
+	if q.Continues {
+		c.confirm(at, r.Confirmation)
+	}
 	if !q.Continues || c.findOrigin(at, q) {
 		c.place(at, q)
 	}
@@ -248,6 +257,8 @@
 		outcome = classifier.EndpointFailed
 	case q.build != "" && outcome == classifier.NoEndpoint && !q.buildServes():
 		outcome = classifier.BuildGone
+	case outcome == classifier.NoEndpoint:
+		retryAfter = max(retryAfter, c.beginsIn(now, q))
 	}
 	c.actions = append(c.actions, decider.Action{
 		Kind: decider.ActionRefuse, Request: q.ID, Outcome: outcome,
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -227,6 +227,7 @@
 		delete(c.pendingReservations, reservation)
 		c.placeAgain(at, q)
 	}
+	c.checkBuilds(at)
 	c.tellOrigins(at)
 	c.expireOriginAsks(at)
 	c.broadcastLoads(at)
--- a/placer/origin_test.go
+++ b/placer/origin_test.go
@@ -42,6 +42,7 @@
 	endpoints map[namer.Endpoint]*versionedEndpoint
 	daemons   []*originDaemon
 	listed    map[namer.Build]time.Duration // builds in the object API, and when an endpoint last had them
+	listedAt  map[namer.Build]time.Duration
 	requests  map[namer.StreamID]*originRequest
 	streams   []*versionedStream
 	last      int
@@ -66,6 +67,36 @@
 	troubled                                      time.Duration // when the last of them ended
 	lost                                          time.Duration // in suspensions, by which the steady clock is late
 	pending                                       []func()      // for the end of the suspension
+
+	generation    uint64 // of the fleet that the core has
+	confirmed     time.Duration
+	unbrokenSince time.Duration
+	gaps          uint64
+	gap           time.Duration
+}
+
+// confirmation says how current a daemon's fleet is, by a clock that doesn't stop.
+func (w *originWorld) confirmation(d *originDaemon) decider.Confirmation {
+	return decider.Confirmation{
+		Known: true, Generation: d.generation, Age: w.now - d.confirmed, Unbroken: w.now - d.unbrokenSince, Gaps: d.gaps, Gap: d.gap,
+		ListAge: w.now - d.confirmed,
+	}
+}
+
+// maxGap is the longest time between two reads of the object API after which nothing has been missed.
+const maxGap = 3 * originSettling / 4
+
+// configure passes a fleet to a daemon, which was read at a time.
+func (w *originWorld) configure(d *originDaemon, view decider.Fleet, read time.Duration) {
+	if gap := read - d.confirmed; gap > maxGap {
+		d.unbrokenSince, d.gap = read, gap
+		d.gaps++
+	}
+	d.confirmed = read
+	d.generation++
+	view.Generation = d.generation
+	d.core.Configure(w.clock(d), view)
+	d.core.Confirm(w.clock(d), w.confirmation(d))
 }
 
 // inStep reports whether nothing has disrupted the daemon for a while.
@@ -93,7 +124,7 @@
 }
 
 func newOriginWorld(t *testing.T, seed uint64, daemons int) *originWorld {
-	w := &originWorld{t: t, endpoints: map[namer.Endpoint]*versionedEndpoint{}, listed: map[namer.Build]time.Duration{}, requests: map[namer.StreamID]*originRequest{}}
+	w := &originWorld{t: t, endpoints: map[namer.Endpoint]*versionedEndpoint{}, listed: map[namer.Build]time.Duration{}, listedAt: map[namer.Build]time.Duration{}, requests: map[namer.StreamID]*originRequest{}}
 	w.random = rand.New(rand.NewPCG(seed, 7))
 	for range 6 {
 		w.addEndpoint("v1")
@@ -142,6 +173,9 @@
 	}}}
 	for build := range w.listed {
 		view.Services[0].Builds = append(view.Services[0].Builds, build)
+		if w.now-w.listedAt[build] > originSettling {
+			view.Services[0].Settled = append(view.Services[0].Settled, build)
+		}
 	}
 	for _, e := range w.endpoints {
 		view.Endpoints = append(view.Endpoints, e.view)
@@ -181,6 +215,9 @@
 // list adds builds that serve to the list in the object API, and removes those whose last stream can't be taken up any more.
 func (w *originWorld) list() {
 	for _, e := range w.endpoints {
+		if _, listed := w.listed[e.view.Build]; !listed {
+			w.listedAt[e.view.Build] = w.now
+		}
 		w.listed[e.view.Build] = w.now
 	}
 	for build, at := range w.listed {
@@ -192,11 +229,11 @@
 
 // confirm passes what the object API holds now to a daemon.
 func (w *originWorld) confirm(d *originDaemon, start int) {
-	view := w.view()
+	view, read := w.view(), w.now
 	w.after(networkDelay, func() {
 		w.step(d, func() {
-			if d.starts == start {
-				d.core.Configure(w.clock(d), view)
+			if d.starts == start && read > d.confirmed {
+				w.configure(d, view, read)
 			}
 		})
 	})
@@ -243,7 +280,8 @@
 		Self: d.name, Seed: w.random.Uint64(), Retries: placer.Retries{Ratio: 0.2, Slack: 500, Window: 10 * time.Second},
 	}
 	w.list()
-	d.core.Configure(w.clock(d), w.view())
+	d.confirmed, d.unbrokenSince, d.gaps = w.now, w.now, 0
+	w.configure(d, w.view(), w.now)
 	w.tick(d, d.starts)
 	w.poll(d, d.starts)
 }
@@ -298,7 +336,7 @@
 	}
 	w.step(d, func() {
 		if w.requests[r.id] == r {
-			request.Deadline = w.clock(d).Add(originLifetime)
+			request.Deadline, request.Confirmation = w.clock(d).Add(originLifetime), w.confirmation(d)
 			w.perform(d, d.core.Arrive(w.clock(d), request))
 		}
 	})
@@ -335,7 +373,10 @@
 			if w.random.IntN(100) > 0 && d.sendCuts == 0 {
 				w.after(networkDelay, func() {
 					if to.receiveCuts == 0 {
-						w.step(to, func() { w.perform(to, to.core.Receive(w.clock(to), d.name, message)) })
+						w.step(to, func() {
+							to.core.Confirm(w.clock(to), w.confirmation(to))
+							w.perform(to, to.core.Receive(w.clock(to), d.name, message))
+						})
 					}
 				})
 			}
@@ -526,6 +567,8 @@
 	cores   map[namer.Host]*placer.Core
 	refused classifier.Outcome   // of the last request
 	sentTo  decider.EndpointView // the engine of the last request
+	retry   time.Duration        // Retry-After of the last refusal
+	age     time.Duration        // of the fleet at all daemons
 }
 
 func newOriginDaemons(t *testing.T, hosts ...namer.Host) *originDaemons {
@@ -536,17 +579,35 @@
 		d.view.Endpoints = append(d.view.Endpoints, decider.EndpointView{Name: name, Service: service, Role: namer.RoleDecode, Concurrency: 64, Build: "v1"})
 	}
 	for _, host := range hosts {
-		d.view.Members = append(d.view.Members, decider.MemberView{Host: host})
-		d.cores[host] = &placer.Core{Self: host, Seed: 1, Retries: placer.Retries{Ratio: 1, Slack: 100, Window: 10 * time.Second}}
+		d.start(host, 0)
 	}
-	d.configure(0)
 	return d
 }
 
+// start adds a daemon that starts.
+func (d *originDaemons) start(host namer.Host, at time.Duration) {
+	d.view.Members = append(d.view.Members, decider.MemberView{Host: host})
+	d.cores[host] = &placer.Core{Self: host, Seed: 1, Retries: placer.Retries{Ratio: 1, Slack: 100, Window: 10 * time.Second}}
+	d.configure(at)
+}
+
+// confirmation is that of a fleet that has been followed from the beginning.
+func (d *originDaemons) confirmation(at time.Duration) decider.Confirmation {
+	return decider.Confirmation{Known: true, Age: d.age, Unbroken: at + time.Second}
+}
+
+// confirm tells all daemons how current the fleet is.
+func (d *originDaemons) confirm(at time.Duration) {
+	for _, core := range d.cores {
+		core.Confirm(epoch.Add(at), d.confirmation(at))
+	}
+}
+
 func (d *originDaemons) configure(at time.Duration) {
 	for _, core := range d.cores {
 		core.Configure(epoch.Add(at), d.view)
 	}
+	d.confirm(at)
 }
 
 func (d *originDaemons) tick(at time.Duration) {
@@ -559,7 +620,7 @@
 	for _, a := range slices.Clone(actions) {
 		switch a.Kind {
 		case decider.ActionRefuse:
-			d.refused = a.Outcome
+			d.refused, d.retry = a.Outcome, a.RetryAfter
 		case decider.ActionDispatch:
 			for _, e := range d.view.Endpoints {
 				if e.Name == a.Endpoint {
@@ -580,7 +641,7 @@
 	d.refused, d.sentTo = "", decider.EndpointView{}
 	d.perform(at, host, d.cores[host].Arrive(epoch.Add(at), decider.Request{
 		ID: namer.NewStreamID(), Service: service, Idempotent: true, PromptTokens: 100, MaxTokens: 57, Deadline: epoch.Add(at + 10*time.Second),
-		Target: time.Second, Attempts: 2, Stream: key, Continues: continues, Lifetime: 10 * time.Second,
+		Target: time.Second, Attempts: 2, Stream: key, Continues: continues, Lifetime: 10 * time.Second, Confirmation: d.confirmation(at),
 	}))
 	d.tick(at + 50*time.Millisecond)
 }
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -86,7 +86,7 @@
 	ownTokens := max(1, float64(q.PromptTokens)-q.prefixTokens()+q.deliveredTokens)
 	var onTime, late lowestScore
 	// Prompts are processed apart only for an engine that can generate then.
-	decodeUnavailable := c.rateLimited(now, q, true) || (q.build != "" && !c.buildOpen(now, q))
+	decodeUnavailable := c.rateLimited(now, q, true) || (c.choosesBuild(now, q) && !c.buildOpen(now, q))
 	for _, e := range q.pool.endpoints {
 		if !c.open(now, q, e) || q.hasTried(e) || contains(q.declined, e) {
 			continue
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -149,13 +149,7 @@
 	if x.route.Kind == matcher.Stream {
 		patience = x.relayer.Dialect.Patience(x.route.Target, x.route.TargetGap)
 	}
-	ticket, err := x.relayer.Dispatcher.Submit(ctx, decider.Request{
-		ID: namer.NewStreamID(), Service: x.service, Model: x.call.Model, Idempotent: x.route.Repeatable(),
-		PromptTokens: x.call.Prompt, MaxTokens: x.expectedOutput(), Deadline: x.deadline, Target: x.route.Target, TargetGap: x.route.TargetGap,
-		Priority: x.route.Priority, Parts: x.call.Parts, Attempts: x.route.Attempts, Patience: patience,
-		Fingerprint: x.fingerprint,
-		Stream:      x.streamKey(), Continues: x.continues(), Lifetime: max(x.route.Timeout, x.call.Timeout),
-	})
+	ticket, err := x.relayer.Dispatcher.Submit(ctx, x.newRequest(patience))
 	if err != nil {
 		x.refuse(classifier.Draining, defaultRetryAfter)
 		return
@@ -176,6 +170,21 @@
 	}
 }
 
+// newRequest returns the request for the decision core.
+func (x *exchange) newRequest(patience time.Duration) decider.Request {
+	request := decider.Request{
+		ID: namer.NewStreamID(), Service: x.service, Model: x.call.Model, Idempotent: x.route.Repeatable(),
+		PromptTokens: x.call.Prompt, MaxTokens: x.expectedOutput(), Deadline: x.deadline, Target: x.route.Target, TargetGap: x.route.TargetGap,
+		Priority: x.route.Priority, Parts: x.call.Parts, Attempts: x.route.Attempts, Patience: patience,
+		Fingerprint: x.fingerprint,
+		Stream:      x.streamKey(), Continues: x.continues(), Lifetime: max(x.route.Timeout, x.call.Timeout),
+	}
+	if request.Continues && x.relayer.Confirmation != nil {
+		request.Confirmation = x.relayer.Confirmation()
+	}
+	return request
+}
+
 // continues reports whether the caller takes up a stream that has begun.
 func (x *exchange) continues() bool { return x.route.Kind == matcher.Stream && x.call.LastEvent != "" }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -35,6 +35,8 @@
 	Dispatcher Dispatcher
 	Endpoints  forwarder.Service
 	Metrics    *recorder.Metrics
+	// Confirmation says how current the decision core's knowledge of the endpoints is; nil if nobody can tell.
+	Confirmation func() decider.Confirmation
 	// Log receives a line for each decision about a request, each failed attempt and each outcome.
 	Log zerolog.Logger
 
