--- a/follower/confirmation.go
+++ b/follower/confirmation.go
@@ -16,7 +16,7 @@
 	At    timekeeper.Instant
 	Known bool
 	// UnbrokenSince is the instant since which the replica has been confirmed again and again, so that an object that
-	// existed for MaxGap was seen. It is in the future after a restore of the store, until its writers have written again what
+	// existed for three quarters of the staleness bound was seen. It is in the future after a restore of the store, until its writers have written again what
 	// the store has lost.
 	UnbrokenSince timekeeper.Instant
 	// Gaps counts the gaps, and Gap is the time between the two confirmations around the last one.
@@ -27,9 +27,6 @@
 // gapFraction is the longest time between two confirmations of a replica that is followed without a gap.
 const gapFraction = 0.75
 
-// MaxGap returns the time for which an object must exist to be seen while there is no gap.
-func (f *Follower) MaxGap() time.Duration { return f.boundFraction(gapFraction) }
-
 // Confirmation returns what the replica is known to include.
 func (f *Follower) Confirmation() Confirmation {
 	f.mu.Lock()
@@ -61,7 +58,7 @@
 		switch {
 		case !c.Known:
 			c.UnbrokenSince = at
-		case gap > f.MaxGap():
+		case gap > f.boundFraction(gapFraction):
 			c.UnbrokenSince, c.Gap = max(c.UnbrokenSince, at), gap
 			c.Gaps++
 		}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -33,6 +33,8 @@
 	arrival    arrival
 	left       leftNotice
 	sentAt     time.Time // when the last attempt was sent
+	// confirmation says how current this daemon was when the request took up a stream.
+	confirmation decider.Confirmation
 
 	version namer.ConfigVersion // version of the routing table
 	route   *matcher.Route
@@ -181,6 +183,7 @@
 	}
 	if request.Continues && x.relayer.Confirmation != nil {
 		request.Confirmation = x.relayer.Confirmation()
+		x.confirmation = request.Confirmation
 	}
 	return request
 }
