namer: One check of addresses in entries

announcer and platform each had the same check of an address that another process can be reached at. No behaviour changes: go test ./platform ./announcer.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -132,7 +132,7 @@
 		return Member{}, errors.Errorf("entry %q is of host %q", key, m.Host)
 	}
 	for _, address := range []netip.AddrPort{m.PeerAddress, m.DatagramAddress} {
-		if !address.IsValid() || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() {
+		if !namer.IsListenAddress(address) {
 			return Member{}, errors.Errorf("entry %q has address %v, which no daemon can have", key, address)
 		}
 	}
