follower: One bound on the size of entries

assembler and announcer each had maxEntryBytes with the same value; follower.MaxEntryBytes serves both. No behaviour changes: go test ./announcer ./follower.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -29,8 +29,6 @@
 	stalenessBound = 5 * time.Second
 	// retryDelay is the delay before a failed write is retried.
 	retryDelay = 500 * time.Millisecond
-	// maxEntryBytes bounds the size of an entry, most of which are its blocked prompt parts.
-	maxEntryBytes = 64 << 10
 	// deregisterTimeout bounds the removal of the daemon's own entry.
 	deregisterTimeout = time.Second
 )
@@ -73,7 +71,7 @@
 		a.outdated = make(chan struct{}, 1)
 		a.follower = &follower.Follower{
 			Source: a.Reader, Prefix: Prefix, StalenessBound: stalenessBound, Readers: a.Readers, DisableWatch: true,
-			MaxValueBytes: maxEntryBytes, Log: a.Log,
+			MaxValueBytes: follower.MaxEntryBytes, Log: a.Log,
 		}
 	})
 }
--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -93,9 +93,6 @@
 	g.Log.Events.Info().Int("seeds", len(settings.Seeds)).Msg("settings-read")
 }
 
-// maxEntryBytes bounds the size of an endpoint's entry, which has some hundred bytes.
-const maxEntryBytes = 64 << 10
-
 // connect builds the components. It starts nothing.
 func (g *Gateway) connect(socket net.PacketConn) {
 	g.metrics = recorder.NewMetrics()
@@ -119,7 +116,7 @@
 	readers := &readerSelector{self: g.announcer.Self, seeds: g.Settings.Seeds, announcer: g.announcer, client: g.peerClient()}
 	g.announcer.Readers = readers
 	g.config = &follower.Follower{Source: store, Prefix: g.Platform.ConfigPrefix, StalenessBound: g.Settings.StalenessBounds.Configuration.Std(), Readers: readers, Log: g.Log.Events}
-	g.entries = &follower.Follower{Source: store, Prefix: g.Platform.EntryPrefix, StalenessBound: g.Settings.StalenessBounds.Endpoints.Std(), MaxValueBytes: maxEntryBytes, Readers: readers, Clock: timekeeper.Now, Log: g.Log.Events}
+	g.entries = &follower.Follower{Source: store, Prefix: g.Platform.EntryPrefix, StalenessBound: g.Settings.StalenessBounds.Endpoints.Std(), MaxValueBytes: follower.MaxEntryBytes, Readers: readers, Clock: timekeeper.Now, Log: g.Log.Events}
 	g.registrar = &registrar.Registrar{Source: g.entries, Decode: g.Platform.DecodeEntry, OnRefused: g.metrics.Counter("apricotspool_entries_refused_total").Inc, Log: g.Log.Events}
 	seed := xxhash.Sum64String(string(g.Settings.Host)) ^ uint64(time.Now().UnixNano())
 	core := &placer.Core{Self: g.Settings.Host, DataCentre: g.Settings.DataCentre, Seed: seed, Retries: placer.Retries{
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -54,6 +54,10 @@
 	readerLivenessFraction = 0.5
 )
 
+// MaxEntryBytes bounds the entries of endpoints and daemons. Most of a daemon's are its blocked prompt parts; an endpoint's
+// have some hundred bytes.
+const MaxEntryBytes = 64 << 10
+
 // Readers gives access to the daemons that read the object API for the others.
 type Readers interface {
 	// IsReader reports whether this daemon is a reader.
