archivist: Look for the services soon only until they are known

A deployment without resumable streams has no list, so that the archivist looked for one every 50 ms for ever, with a pass over all entries and routes each time. It looks so often only until the routing table and the entries are known. Found by reading the change; go test ./archivist.

--- a/archivist/archivist.go
+++ b/archivist/archivist.go
@@ -165,9 +165,9 @@
 	}
 }
 
-// firstCheck returns a channel that delivers soon while no list has been read: no stream begins before that.
+// firstCheck returns a channel that delivers soon while the services aren't known: no stream begins before their lists are.
 func (a *Archivist) firstCheck() <-chan time.Time {
-	if generation, _ := a.Generation(); generation > 0 {
+	if services, _ := a.Services(); services != nil {
 		return nil
 	}
 	return time.After(startPeriod)
