--- a/assembler/gateway_left_test.go
+++ b/assembler/gateway_left_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -11,6 +13,17 @@
 	"github.com/matryer/is"
 )
 
+// stopProcess stops a process and waits until it stands still.
+func stopProcess(t *testing.T, p *os.Process) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(p.Signal(syscall.SIGSTOP))
+	eventually(t, "the process has stopped", func() bool {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid))
+		return err == nil && strings.Contains(string(stat), ") T ")
+	})
+}
+
 // Guards against requests that a gateway process sends on although their callers had left before it ran again.
 func TestStoppedGatewaySendsNothingOfCallersThatLeft(t *testing.T) {
 	const rounds, callers = 4, 100
@@ -26,7 +39,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	var ids []string
 	for range rounds {
-		is.NoErr(process.Process.Signal(syscall.SIGSTOP))
+		stopProcess(t, process.Process)
 		for i := range callers {
 			path := []string{"/orders/1", "/items/1", "/ask/1"}[i%3]
 			id, r, err := s.NewRequest(http.MethodPost, settings.Callers, path)
