--- a/loader/gateway.go
+++ b/loader/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -47,10 +48,47 @@
 	MemoryMB float64 `json:"memory-mb,omitzero"`
 	// Descriptors is the maximum number of sockets that the process may open; 0 means no limit.
 	Descriptors float64 `json:"descriptors,omitzero"`
+	// RevocationBound is the time after the withdrawal of a key within which every daemon stops accepting it. 0 means that
+	// the age of the configuration doesn't limit the use of keys.
+	RevocationBound namer.Duration `json:"revocation-bound,omitzero"`
+	// PlatformAPI is the platform's interface for duties that one daemon performs at a time.
+	PlatformAPI PlatformAPI `json:"platform-api,omitzero"`
+	// Metering describes the windows in which the requests of workspaces are counted.
+	Metering Metering `json:"metering,omitzero"`
 	// LogLevel is the lowest level that is logged. Empty means "info".
 	LogLevel string `json:"log-level,omitempty"`
 }
 
+// PlatformAPI is the platform's interface for metering and capacity. It is used if its address is set.
+type PlatformAPI struct {
+	Address netip.AddrPort `json:"address"`
+	// CallsPerSecond is the number of calls a second that are accepted from all daemons together; 0 means
+	// DefaultPlatformAPICalls.
+	CallsPerSecond float64 `json:"calls-per-second,omitzero"`
+	// Duties are the calls that the platform expects.
+	Duties []Duty `json:"duties"`
+}
+
+// Duty is a task that one daemon at a time performs at the platform's interface.
+type Duty string
+
+// The duties. Others are ignored.
+const (
+	DutyMetering  Duty = "metering"
+	DutyAutoscale Duty = "autoscale"
+)
+
+// Has reports whether the platform expects a duty.
+func (p *PlatformAPI) Has(duty Duty) bool {
+	return p.Address.IsValid() && slices.Contains(p.Duties, duty)
+}
+
+// Metering holds the length of a metering window and the time after its end at which its report is due.
+type Metering struct {
+	Window namer.Duration `json:"window,omitzero"`
+	Due    namer.Duration `json:"due,omitzero"`
+}
+
 // StalenessBounds bounds the age of the configuration and of the endpoints that a daemon uses; 0 means
 // DefaultStalenessBound.
 type StalenessBounds struct {
@@ -75,6 +113,10 @@
 	DefaultRetrySlack     = 20
 	DefaultRetryWindow    = 10 * time.Second
 	DefaultCommandGap     = 3 * time.Second
+
+	DefaultPlatformAPICalls = 50
+	DefaultMeteringWindow   = 5 * time.Second
+	DefaultMeteringDue      = 10 * time.Second
 )
 
 // LoadGateway reads and checks a settings file. Faults in it are returned as decoder.Faults.
@@ -123,6 +165,13 @@
 	v.timeout("/command-gap", g.CommandGap)
 	v.require(g.MemoryMB >= 0, "/memory-mb", g.MemoryMB, "must not be negative")
 	v.require(g.Descriptors >= 0, "/descriptors", g.Descriptors, "must not be negative")
+	v.timeout("/revocation-bound", g.RevocationBound)
+	if g.PlatformAPI.Address != (netip.AddrPort{}) {
+		v.address("/platform-api/address", g.PlatformAPI.Address)
+	}
+	v.require(g.PlatformAPI.CallsPerSecond >= 0, "/platform-api/calls-per-second", g.PlatformAPI.CallsPerSecond, "must not be negative")
+	v.timeout("/metering/window", g.Metering.Window)
+	v.timeout("/metering/due", g.Metering.Due)
 	_, err := zerolog.ParseLevel(g.LogLevel)
 	v.require(err == nil, "/log-level", g.LogLevel, "must be \"debug\", \"info\", \"warn\" or \"error\"")
 	return v.faults
@@ -147,6 +196,15 @@
 	if g.CommandGap == 0 {
 		g.CommandGap = namer.Duration(DefaultCommandGap)
 	}
+	if g.PlatformAPI.CallsPerSecond == 0 {
+		g.PlatformAPI.CallsPerSecond = DefaultPlatformAPICalls
+	}
+	if g.Metering.Window == 0 {
+		g.Metering.Window = namer.Duration(DefaultMeteringWindow)
+	}
+	if g.Metering.Due == 0 {
+		g.Metering.Due = namer.Duration(DefaultMeteringDue)
+	}
 	if g.LogLevel == "" {
 		g.LogLevel = "info"
 	}
--- a/matcher/route.go
+++ b/matcher/route.go
@@ -54,6 +54,18 @@
 	Name     namer.Service
 	MaxConns int     // limit per endpoint over all daemons; 0 means no limit
 	Engine   *Engine // nil for a plain service
+	// Scaling is set if the daemons order the endpoints of the service.
+	Scaling *Scaling
+}
+
+// Scaling describes the endpoints of a service that can be ordered.
+type Scaling struct {
+	Min, Max int           // endpoints of all kinds in each data centre
+	Boot     time.Duration // from an order until a new endpoint serves
+	// PreemptiblePrice is the price of a preemptible endpoint as a fraction of that of an on-demand one.
+	PreemptiblePrice float64
+	// Prices are the relative prices of an on-demand endpoint in the data centres where the service can run.
+	Prices map[namer.DataCentre]float64
 }
 
 // Engine describes the engines of a service.
--- a/registrar/entry.go
+++ b/registrar/entry.go
@@ -22,4 +22,8 @@
 	Role        namer.Role
 	Models      []namer.Model
 	Build       namer.Build
+	// Preemptible endpoints may be taken back by the platform, all of a data centre at once.
+	Preemptible bool
+	// LeavesIn is the time that is left until the endpoint ends; 0 if it isn't known.
+	LeavesIn time.Duration
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -171,7 +171,8 @@
 func (e Entry) equal(other Entry) bool {
 	return slices.Equal(e.Models, other.Models) && e.Name == other.Name && e.Service == other.Service && e.Address == other.Address &&
 		e.DataCentre == other.DataCentre && e.Slots == other.Slots && e.Leaving == other.Leaving &&
-		e.WarmupLeft == other.WarmupLeft && e.Incarnation == other.Incarnation && e.Role == other.Role && e.Build == other.Build
+		e.WarmupLeft == other.WarmupLeft && e.Incarnation == other.Incarnation && e.Role == other.Role && e.Build == other.Build &&
+		e.Preemptible == other.Preemptible && e.LeavesIn == other.LeavesIn
 }
 
 // entrySet decides which entries are in effect. It does no I/O and reads no clock.
