leaser: Name and authority of the lease of duties

Cause: calls to the platform for metering and capacity need one holder at a time. Change: lease authority/duties with its own authority type. Nothing uses it yet. Result: go test ./leaser passes.

--- a/leaser/authority.go
+++ b/leaser/authority.go
@@ -149,3 +149,8 @@
 type RoleAuthority struct {
 	Authority
 }
+
+// DutyAuthority allows calls to the platform that one daemon makes at a time.
+type DutyAuthority struct {
+	Authority
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -44,8 +44,11 @@
 // Roles is the fleet-wide lease for changes of the roles of engines.
 const Roles Name = "authority/roles"
 
+// Duties is the fleet-wide lease for calls to the platform that one daemon makes at a time: metering and capacity.
+const Duties Name = "authority/duties"
+
 // ForDataCentre returns the name of the lease over the endpoints of a data centre. A data centre named
-// "housekeeping" or "roles" can't have one, because its name collides with another lease.
+// "housekeeping", "roles" or "duties" can't have one, because its name collides with another lease.
 func ForDataCentre(d namer.DataCentre) Name { return Name("authority/" + string(d)) }
 
 // lease is the stored value.
@@ -110,7 +113,7 @@
 
 // Endpoints returns the authority over a data centre's endpoints if this process holds their lease.
 func (l *Leaser) Endpoints(d namer.DataCentre) (EndpointAuthority, bool) {
-	if l.Name != ForDataCentre(d) || l.Name == Housekeeping || l.Name == Roles {
+	if l.Name != ForDataCentre(d) || l.Name == Housekeeping || l.Name == Roles || l.Name == Duties {
 		return EndpointAuthority{}, false
 	}
 	a, ok := l.authority()
@@ -135,6 +138,15 @@
 	return RoleAuthority{Authority: a}, ok
 }
 
+// Duties returns the authority over the duties at the platform if this process holds that lease.
+func (l *Leaser) Duties() (DutyAuthority, bool) {
+	if l.Name != Duties {
+		return DutyAuthority{}, false
+	}
+	a, ok := l.authority()
+	return DutyAuthority{Authority: a}, ok
+}
+
 // Run competes for the lease and renews it until ctx ends, then releases it.
 func (l *Leaser) Run(ctx context.Context) error {
 	l.init()
