leaser, assembler: Run the lease of duties with its own times

Cause: calls to the platform need a holder that is replaced within about 5 s, and that may not release the lease so early that two others act in the order A, B, A within the command gap. Change: the times of a lease are fields with the former constants as defaults.

--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -76,6 +76,7 @@
 	endpoints  forwarder.Service
 	roleLease  *leaser.Leaser
 	assigner   *assigner.Assigner
+	duties     gatewayDuties
 	draining   atomic.Bool
 }
 
@@ -138,6 +139,7 @@
 		Endpoints: g.endpoints, Metrics: g.metrics, Log: g.Log.Requests, Confirmation: g.fleet.Confirmation,
 	}
 	g.connectRoles(core)
+	g.connectDuties()
 }
 
 // peerClient returns the client for calls to other daemons, without TLS.
--- a/assembler/gatewaybuilds.go
+++ b/assembler/gatewaybuilds.go
@@ -17,7 +17,7 @@
 	g.archivist = &archivist.Archivist{
 		Store: g.announcer.Store, Services: g.fleet.resumableServices, ServicesChanged: g.registrar.Changed,
 		Settling: g.Settings.StalenessBounds.Endpoints.Std(), Confirmation: g.entries.Confirmation, Clock: timekeeper.Now, Log: g.Log.Events,
-		Writes: func() bool { return competesForRoles(g.Settings.Host, g.announcer.Members()) },
+		Writes: func() bool { return competes(g.Settings.Host, g.announcer.Members()) },
 	}
 	g.fleet.archivist = g.archivist
 	core.Learning = true
--- a/assembler/gatewayroles.go
+++ b/assembler/gatewayroles.go
@@ -16,18 +16,18 @@
 	"apricotspool/placer"
 )
 
-// roleCandidates is the number of daemons that compete for the lease of role changes.
-const roleCandidates = 3
+// fleetCandidates is the number of daemons that compete for a lease of the whole fleet.
+const fleetCandidates = 3
 
-// competesForRoles reports whether this daemon is one of those whose host names have the highest hashes.
-func competesForRoles(self namer.Host, members []announcer.Member) bool {
+// competes reports whether this daemon is one of those whose host names have the highest hashes.
+func competes(self namer.Host, members []announcer.Member) bool {
 	own, higher := xxhash.Sum64String(string(self)), 0
 	for _, m := range members {
 		if m.Host != self && xxhash.Sum64String(string(m.Host)) > own {
 			higher++
 		}
 	}
-	return len(members) > 0 && higher < roleCandidates
+	return len(members) > 0 && higher < fleetCandidates
 }
 
 // gatewayEngines gives the assigner the view of the decision core.
@@ -55,7 +55,7 @@
 	g.roleLease = &leaser.Leaser{
 		Store: g.announcer.Store, Name: leaser.Roles, Log: g.Log.Events,
 		Process:  namer.Process{Host: g.Settings.Host, Address: g.Settings.Peers, Incarnation: namer.Incarnation(time.Now().UnixNano())},
-		Eligible: func() bool { return !g.draining.Load() && competesForRoles(g.Settings.Host, g.announcer.Members()) },
+		Eligible: func() bool { return !g.draining.Load() && competes(g.Settings.Host, g.announcer.Members()) },
 	}
 	g.assigner = &assigner.Assigner{
 		Host: g.Settings.Host, Authority: g.roleLease, Fleet: &gatewayEngines{core, g.dispatcher},
--- a/leaser/authority.go
+++ b/leaser/authority.go
@@ -20,16 +20,25 @@
 	holder  namer.Process
 	fencing namer.FencingToken
 	clock   Clock
+	valid   time.Duration // after the start of a renewal
+	gap     time.Duration // between the acquisition and the release
+	since   Reading       // when the acquisition was known
 
 	mu      sync.Mutex // guards the fields below; never held during I/O
 	renewed Reading    // clocks just before the last successful renewal was sent
 	closed  bool       // no use may start
 	uses    int
 	idle    chan struct{} // closed once closed is set and uses is 0
+
+	unreached      int     // consecutive calls that reached nothing
+	unreachedSince Reading // when the first of them was recorded
 }
 
 func newGrant(l *Leaser, fencing namer.FencingToken, start Reading) *grant {
-	return &grant{name: l.Name, holder: l.Process, fencing: fencing, clock: l.clock(), renewed: start, idle: make(chan struct{})}
+	return &grant{
+		name: l.Name, holder: l.Process, fencing: fencing, clock: l.clock(), valid: l.Duration - l.Margin, gap: l.HandoverGap, since: l.clock().Now(),
+		renewed: start, idle: make(chan struct{}),
+	}
 }
 
 // remaining returns how long the grant is still valid by both clocks.
@@ -39,7 +48,50 @@
 	if g.closed {
 		return 0
 	}
-	return Duration - Margin - g.clock.Now().Since(g.renewed)
+	return g.valid - g.clock.Now().Since(g.renewed)
+}
+
+// left returns how long the lease is still held by both clocks, also while it is being released.
+func (g *grant) left() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.valid - g.clock.Now().Since(g.renewed)
+}
+
+// releasable reports whether the gap since the acquisition has passed. The monotonic clock counts, which is behind the
+// other one if a process was suspended.
+func (g *grant) releasable() bool { return g.clock.Now().Mono-g.since.Mono >= g.gap }
+
+// renewedWithin reports whether the last renewal is at most d old.
+func (g *grant) renewedWithin(d time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.clock.Now().Since(g.renewed) <= d
+}
+
+// record counts the consecutive calls that reached nothing.
+func (g *grant) record(reached bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case reached:
+		g.unreached = 0
+	default:
+		if g.unreached == 0 {
+			g.unreachedSince = g.clock.Now()
+		}
+		g.unreached++
+	}
+}
+
+// unreachedFor returns for how long calls have reached nothing, or -1 if they are too few.
+func (g *grant) unreachedFor() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.unreached < maxUnreached {
+		return -1
+	}
+	return g.clock.Now().Mono - g.unreachedSince.Mono
 }
 
 func (g *grant) extend(start Reading) {
@@ -149,8 +201,3 @@
 type RoleAuthority struct {
 	Authority
 }
-
-// DutyAuthority allows calls to the platform that one daemon makes at a time.
-type DutyAuthority struct {
-	Authority
-}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -4,6 +4,7 @@
 package leaser
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -19,17 +20,22 @@
 	"apricotspool/storer"
 )
 
-// A holder stops Margin before Duration has passed since the start of its last renewal, and a candidate
-// waits Margin longer than Duration. Clocks may thus drift apart by up to both margins.
+// Defaults of the fields of a Leaser.
 const (
 	RenewInterval = 2 * time.Second
 	Duration      = 10 * time.Second
 	Margin        = 2 * time.Second
-	// PollInterval is the longest time between two reads by a candidate. 420 candidates make fewer
-	// than 150 reads per second, of about 2,000 that the object API can handle.
+	// PollInterval makes fewer than 150 reads per second with 420 candidates, of about 2,000 that the
+	// object API can handle.
 	PollInterval = 4 * time.Second
-	// retryInterval is the wait after a failed renewal. It allows about 8 attempts before the lease expires.
-	retryInterval = 500 * time.Millisecond
+	// RetryInterval allows about 8 attempts before the lease expires.
+	RetryInterval = 500 * time.Millisecond
+)
+
+const (
+	// maxUnreached is the number of consecutive calls that reached nothing after which a holder of duties
+	// gives up the lease. A single lost connection must not move it.
+	maxUnreached = 5
 	// releaseTimeout bounds the release at shutdown. If the release is lost, the lease stays unavailable
 	// until it expires.
 	releaseTimeout = 2 * time.Second
@@ -69,6 +75,19 @@
 	Process namer.Process
 	Log     zerolog.Logger
 	Clock   Clock // nil means SystemClock
+	// A holder stops Margin before Duration has passed since the start of its last renewal, and a candidate
+	// waits Margin longer than Duration. Clocks may thus drift apart by up to both margins.
+	Duration, Margin time.Duration
+	// RenewInterval is the time between two renewals, RetryInterval the longest wait after a failed one, and
+	// PollInterval the longest time between two reads by a candidate.
+	RenewInterval, RetryInterval, PollInterval time.Duration
+	// CallTimeout bounds each call to the store; 0 leaves it to the store.
+	CallTimeout time.Duration
+	// HandoverGap is the time that passes between the acquisition of the lease and its release; a lease that
+	// ends earlier expires. The next holder can therefore act at once, without the order A, B, A within the gap.
+	HandoverGap time.Duration
+	// ReleaseIneligible makes a holder release the lease as soon as it isn't eligible any more.
+	ReleaseIneligible bool
 	// Eligible reports whether this process currently competes for the lease; nil means always. A
 	// process that doesn't compete makes no calls to the object API.
 	Eligible func() bool
@@ -89,9 +108,22 @@
 	era           storer.Era
 	restored      bool          // the store has begun an era during the life of this process
 	notBefore     time.Duration // monotonic time before which the lease is then not acquired
+	abstains      bool          // the lease was given up, and another candidate gets it first
+	abstainUntil  time.Duration // monotonic time at which that ends
 }
 
-func (l *Leaser) init() { l.once.Do(func() { l.done = make(chan struct{}) }) }
+func (l *Leaser) init() {
+	l.once.Do(func() {
+		l.done = make(chan struct{})
+		l.Duration = cmp.Or(l.Duration, Duration)
+		l.Margin = cmp.Or(l.Margin, Margin)
+		l.RenewInterval = cmp.Or(l.RenewInterval, RenewInterval)
+		l.RetryInterval = cmp.Or(l.RetryInterval, RetryInterval)
+		l.PollInterval = cmp.Or(l.PollInterval, PollInterval)
+		asserter.Check(l.Margin < l.Duration && l.HandoverGap <= l.Duration+l.Margin, "a lease outlasts its margin and the gap between holders",
+			"lease %q lasts %s with a margin of %s and a gap of %s", l.Name, l.Duration, l.Margin, l.HandoverGap)
+	})
+}
 
 func (l *Leaser) clock() Clock {
 	if l.Clock == nil {
@@ -164,12 +196,31 @@
 
 // step renews or competes for the lease and returns the time until the next step.
 func (l *Leaser) step(ctx context.Context) time.Duration {
+	if l.givesUp() {
+		l.abstains, l.abstainUntil = true, l.clock().Now().Mono+l.Duration+l.Margin
+		l.Log.Warn().Str("lease", string(l.Name)).Bool("eligible", l.eligible()).Msg("lease-given-up")
+		l.release(ctx)
+	}
+	if l.abstains = l.abstains && l.clock().Now().Mono < l.abstainUntil; l.abstains {
+		return l.jitter(l.PollInterval)
+	}
 	if l.observed && l.value.Holder == l.Process && l.acquirable() {
 		return l.renew(ctx)
 	}
 	return l.tryAcquire(ctx)
 }
 
+func (l *Leaser) eligible() bool { return l.Eligible == nil || l.Eligible() }
+
+// givesUp reports whether the holder lets another process have the lease although it could renew it.
+func (l *Leaser) givesUp() bool {
+	g := l.grant.Load()
+	if g == nil || !g.releasable() {
+		return false
+	}
+	return (l.ReleaseIneligible && !l.eligible()) || (g.unreachedFor() >= l.HandoverGap && g.renewedWithin(2*l.RenewInterval))
+}
+
 // acquirable reports whether no process can hold a lease of an earlier era any more.
 func (l *Leaser) acquirable() bool {
 	return !l.restored || l.clock().Now().Mono >= l.notBefore
@@ -182,41 +233,41 @@
 		return
 	}
 	l.era, l.restored = era, true
-	l.notBefore = now.Mono + Duration + Margin
+	l.notBefore = now.Mono + l.Duration + l.Margin
 	l.dropGrant()
 }
 
 // tryAcquire reads the lease and acquires it if it is available. The jitter keeps candidates from
 // writing at the same time.
 func (l *Leaser) tryAcquire(ctx context.Context) time.Duration {
-	if l.Eligible != nil && !l.Eligible() {
-		return l.jitter(PollInterval)
+	if !l.eligible() {
+		return l.jitter(l.PollInterval)
 	}
 	if err := l.read(ctx); err != nil {
 		l.Log.Debug().Err(err).Str("lease", string(l.Name)).Msg("lease-unreadable")
-		return l.jitter(PollInterval)
+		return l.jitter(l.PollInterval)
 	}
 	if !l.acquirable() {
-		return l.jitter(PollInterval)
+		return l.jitter(l.PollInterval)
 	}
 	if l.value.Holder == l.Process {
 		return 0
 	}
 	if !l.available() {
-		return l.jitter(PollInterval)
+		return l.jitter(l.PollInterval)
 	}
 	next := lease{Holder: l.Process, Fencing: l.value.Fencing + 1}
 	if err := l.write(ctx, next); err != nil {
 		l.Log.Debug().Err(err).Str("lease", string(l.Name)).Msg("lease-not-acquired")
-		return l.jitter(PollInterval)
+		return l.jitter(l.PollInterval)
 	}
-	return RenewInterval
+	return l.RenewInterval
 }
 
 // available reports whether the observed version of the lease may be replaced. Only the
 // monotonic clock counts here: setting a wall clock forward must not shorten the wait.
 func (l *Leaser) available() bool {
-	return l.value.Holder.IsZero() || l.clock().Now().Mono-l.versionSeenAt.Mono >= Duration+Margin
+	return l.value.Holder.IsZero() || l.clock().Now().Mono-l.versionSeenAt.Mono >= l.Duration+l.Margin
 }
 
 func (l *Leaser) renew(ctx context.Context) time.Duration {
@@ -226,14 +277,16 @@
 	}
 	if err := l.write(ctx, next); err != nil {
 		l.Log.Warn().Err(err).Str("lease", string(l.Name)).Msg("lease-not-renewed")
-		return l.jitter(retryInterval)
+		return l.jitter(l.RetryInterval)
 	}
-	return RenewInterval
+	return l.RenewInterval
 }
 
 // read observes the newest version of the lease and drops the grant if another process holds it.
 func (l *Leaser) read(ctx context.Context) error {
 	now := l.clock().Now()
+	ctx, cancel := l.bound(ctx)
+	defer cancel()
 	object, err := l.Store.Get(ctx, string(l.Name))
 	if source, ok := l.Store.(storer.EraSource); ok {
 		l.observeEra(source.Era(), now)
@@ -258,6 +311,14 @@
 	return nil
 }
 
+// bound limits a call to the store.
+func (l *Leaser) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	if l.CallTimeout == 0 {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, l.CallTimeout)
+}
+
 // unreadableHolder stands for the holder of a lease that can't be decoded.
 var unreadableHolder = namer.Process{Host: "unreadable"}
 
@@ -290,7 +351,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "encode lease %q", l.Name)
 	}
-	object, err := l.Store.Put(ctx, string(l.Name), value, l.version)
+	putCtx, cancel := l.bound(ctx)
+	object, err := l.Store.Put(putCtx, string(l.Name), value, l.version)
+	cancel()
 	switch {
 	case err == nil:
 		l.observe(object.Version, next, l.clock().Now())
@@ -330,21 +393,27 @@
 	l.Log.Info().Str("lease", string(l.Name)).Uint64("fencing", uint64(fencing)).Msg("lease-acquired")
 }
 
-// release closes the grant, waits for its uses to end and clears the holder for the next candidate.
+// release closes the grant, waits for its uses to end and clears the holder for the next candidate. A lease that was
+// acquired less than the gap between holders ago expires instead.
 func (l *Leaser) release(ctx context.Context) {
 	g := l.grant.Swap(nil)
 	if g == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, Duration)
+	ctx, cancel := context.WithTimeout(ctx, l.Duration)
 	defer cancel()
 	select {
 	case <-g.close():
 	case <-ctx.Done():
 		return
 	}
+	if !g.releasable() {
+		l.Log.Info().Str("lease", string(l.Name)).Msg("lease-expires")
+		return
+	}
 	ctx, cancel = context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
+	l.observed = false // a renewal of the released version would fail
 	value, err := json.Marshal(lease{Fencing: g.fencing})
 	if err == nil {
 		_, err = l.Store.Put(ctx, string(l.Name), value, l.version)
