meterer, relayer, assembler, platform: Count, settle and report the requests of workspaces

Cause: the platform is owed one report of each window of the time of day, with the same counts however often it is sent. Change: daemons count requests by window and workspace and send cumulative counts to the candidates for the lease of duties. The daemon's time of day follows the clock gradually, so that a step repeats or skips no window.

--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -20,6 +20,7 @@
 	"apricotspool/loader"
 	"apricotspool/matcher"
 	"apricotspool/messenger"
+	"apricotspool/meterer"
 	"apricotspool/namer"
 	"apricotspool/placer"
 	"apricotspool/recorder"
@@ -46,6 +47,8 @@
 	Dialect     relayer.Dialect
 	// NewCommander returns a sender of commands to engines.
 	NewCommander func(endpoints forwarder.Service, target func(namer.Endpoint) (forwarder.Target, bool)) assigner.Commander
+	// NewUsageReporter returns a client that reports metering windows.
+	NewUsageReporter func(address netip.AddrPort, calls func(kind string)) meterer.Reporter
 	// EchoHeader is the header that endpoints copy from a request to its response.
 	EchoHeader string
 	// ReadinessPath is the path of the load balancer's readiness check.
@@ -139,7 +142,7 @@
 		Endpoints: g.endpoints, Metrics: g.metrics, Log: g.Log.Requests, Confirmation: g.fleet.Confirmation,
 	}
 	g.connectRoles(core)
-	g.connectDuties()
+	g.connectDuties(peers)
 }
 
 // peerClient returns the client for calls to other daemons, without TLS.
--- a/assembler/gatewayduties.go
+++ b/assembler/gatewayduties.go
@@ -1,10 +1,12 @@
 package assembler
 
 import (
+	"sync/atomic"
 	"time"
 
 	"apricotspool/leaser"
 	"apricotspool/loader"
+	"apricotspool/meterer"
 	"apricotspool/namer"
 	"apricotspool/supervisor"
 	"apricotspool/timekeeper"
@@ -13,7 +15,8 @@
 // gatewayDuties holds the components for calls to the platform that one daemon makes at a time. It is empty if the
 // platform expects none.
 type gatewayDuties struct {
-	lease *leaser.Leaser
+	lease   *leaser.Leaser
+	meterer *meterer.Meterer // nil without metering
 }
 
 // suspensionClock is a clock of leases whose readings both include the time in which the host was suspended.
@@ -25,16 +28,46 @@
 }
 
 // connectDuties builds the lease of duties and the components that work under it.
-func (g *Gateway) connectDuties() {
+func (g *Gateway) connectDuties(peers *corePeers) {
 	if !g.Settings.PlatformAPI.Has(loader.DutyMetering) && !g.Settings.PlatformAPI.Has(loader.DutyAutoscale) {
 		return
 	}
+	eligible := func() bool { return !g.draining.Load() && competes(g.Settings.Host, g.announcer.Members()) }
+	process := namer.Process{Host: g.Settings.Host, Address: g.Settings.Peers, Incarnation: namer.NewIncarnation(time.Now())}
 	g.duties.lease = &leaser.Leaser{
 		Store: g.announcer.Store, Name: leaser.Duties, Log: g.Log.Events, Clock: suspensionClock{},
-		Process:  namer.Process{Host: g.Settings.Host, Address: g.Settings.Peers, Incarnation: namer.Incarnation(time.Now().UnixNano())},
-		Eligible: func() bool { return !g.draining.Load() && competes(g.Settings.Host, g.announcer.Members()) },
+		Process: process, Eligible: eligible,
 	}
 	g.duties.lease.SetDutyTimes(g.Settings.CommandGap.Std())
+	if g.Settings.PlatformAPI.Has(loader.DutyMetering) {
+		g.connectMeterer(process, eligible, peers)
+	}
+}
+
+// connectMeterer builds the component that counts and reports the requests of workspaces.
+func (g *Gateway) connectMeterer(process namer.Process, candidate func() bool, peers *corePeers) {
+	settled, reported, late := g.metrics.Counter("apricotspool_usage_windows_settled_total"),
+		g.metrics.Counter("apricotspool_usage_windows_reported_total"), g.metrics.Counter("apricotspool_usage_windows_late_total")
+	var sources atomic.Int64
+	g.metrics.Gauge("apricotspool_usage_daemons", func() float64 { return float64(sources.Load()) })
+	g.duties.meterer = &meterer.Meterer{
+		Host: process.Host, Incarnation: process.Incarnation, Length: g.Settings.Metering.Window.Std(), Due: g.Settings.Metering.Due.Std(),
+		Lease: g.duties.lease, Candidate: candidate, Store: g.announcer.Store, Send: peers.SendUsage,
+		Reporter: g.Platform.NewUsageReporter(g.Settings.PlatformAPI.Address, objectAPICallCounter(g.metrics)),
+		Steady:   timekeeper.Now, TimeOfDay: time.Now, Log: g.Log.Events,
+		OnSettled: func(n int) {
+			settled.Inc()
+			sources.Store(int64(n))
+		},
+		OnReported: func(isLate bool) {
+			reported.Inc()
+			if isLate {
+				late.Inc()
+			}
+		},
+	}
+	peers.receiveUsage = g.duties.meterer.Receive
+	g.relayer.Meter = g.duties.meterer
 }
 
 // children returns the components of the duties for the supervisor.
@@ -43,5 +76,8 @@
 	if d.lease != nil {
 		children = append(children, supervisor.Child{Name: "duty-lease", Part: d.lease})
 	}
+	if d.meterer != nil {
+		children = append(children, supervisor.Child{Name: "meterer", Part: d.meterer})
+	}
 	return children
 }
--- a/assembler/gatewayroles.go
+++ b/assembler/gatewayroles.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -30,6 +31,13 @@
 	return len(members) > 0 && higher < fleetCandidates
 }
 
+// candidates returns the daemons that compete, by the list of one of them.
+func candidates(members []announcer.Member) []announcer.Member {
+	hash := func(m announcer.Member) uint64 { return xxhash.Sum64String(string(m.Host)) }
+	sorted := slices.SortedFunc(slices.Values(members), func(a, b announcer.Member) int { return cmp.Compare(hash(b), hash(a)) })
+	return sorted[:min(len(sorted), fleetCandidates)]
+}
+
 // gatewayEngines gives the assigner the view of the decision core.
 type gatewayEngines struct {
 	core       *placer.Core
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -35,7 +35,7 @@
 const (
 	// maxUnreached is the number of consecutive calls that reached nothing after which a holder of duties
 	// gives up the lease. A single lost connection must not move it.
-	maxUnreached = 5
+	maxUnreached = 3
 	// releaseTimeout bounds the release at shutdown. If the release is lost, the lease stays unavailable
 	// until it expires.
 	releaseTimeout = 2 * time.Second
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -72,6 +72,7 @@
 		return false
 	}
 	x.mayHaveRun = true
+	x.beginPlain(sentAt)
 	switch {
 	case !verdict.Signed:
 		return x.handleBrokenResponse(ctx, action, errors.Errorf("status %d without a signature", response.Status))
@@ -147,6 +148,8 @@
 	x.mayHaveRun = x.mayHaveRun || !notRun
 	if notRun {
 		x.notRun = proofNotSent
+	} else {
+		x.beginPlain(time.Now())
 	}
 	if x.endIfLeft(err) || x.endIfDone(ctx) {
 		return true
@@ -236,6 +239,7 @@
 		}
 	}
 	wd.progress()
+	x.beginStream(time.Now()) // a whole response instead of a stream
 	x.ticket.Started(action.Attempt, action.Endpoint)
 	x.writeHeader(response.Status, response.Header)
 	_, err = x.w.Write(body)
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -112,6 +112,9 @@
 		events, last = append(events, event...), id
 		count++
 	}
+	if count > 0 {
+		x.beginStream(time.Now())
+	}
 	if count > 0 || len(events) > 0 {
 		err = x.writeEvents(wd, action, response, to, events)
 	}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -29,6 +29,9 @@
 	startTime time.Time // when the request's bytes came, or its handler began if the kernel doesn't tell
 	call      Call
 
+	workspace namer.Caller // whose key the request carries; empty if there is none
+	counted   bool         // the request's beginning has been counted
+
 	connection *inspector.Connection
 	arrival    arrival
 	left       leftNotice
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -37,6 +37,8 @@
 	Metrics    *recorder.Metrics
 	// Confirmation says how current the decision core's knowledge of the endpoints is; nil if nobody can tell.
 	Confirmation func() decider.Confirmation
+	// Meter counts the requests of workspaces; nil means no metering.
+	Meter Meter
 	// Log receives a line for each decision about a request, each failed attempt and each outcome.
 	Log zerolog.Logger
 
