provisioner: Plans and orders engines by data centre and kind

Change: a pure planner chooses the cheapest set that carries the peak of the load, also after all preemptible engines of a data centre are gone; the provisioner sends its orders under the lease of duties; platform/scale.go speaks the protocol. connectCapacity takes the lease, which is still nil here, so that no daemon orders anything yet. Result: go test ./provisioner ./platform ./recorder ./placer ./assigner passes.

--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -22,6 +22,7 @@
 	"apricotspool/messenger"
 	"apricotspool/namer"
 	"apricotspool/placer"
+	"apricotspool/provisioner"
 	"apricotspool/recorder"
 	"apricotspool/registrar"
 	"apricotspool/relayer"
@@ -46,6 +47,8 @@
 	Dialect     relayer.Dialect
 	// NewCommander returns a sender of commands to engines.
 	NewCommander func(endpoints forwarder.Service, target func(namer.Endpoint) (forwarder.Target, bool)) assigner.Commander
+	// NewOrderer returns a sender of orders for engines that reports each call to onCall.
+	NewOrderer func(address netip.AddrPort, onCall func(kind string)) provisioner.Orderer
 	// EchoHeader is the header that endpoints copy from a request to its response.
 	EchoHeader string
 	// ReadinessPath is the path of the load balancer's readiness check.
@@ -76,6 +79,7 @@
 	endpoints  forwarder.Service
 	roleLease  *leaser.Leaser
 	assigner   *assigner.Assigner
+	capacity   gatewayCapacity
 	draining   atomic.Bool
 }
 
@@ -138,6 +142,7 @@
 		Endpoints: g.endpoints, Metrics: g.metrics, Log: g.Log.Requests, Confirmation: g.fleet.Confirmation,
 	}
 	g.connectRoles(core)
+	g.connectCapacity(core, nil)
 }
 
 // peerClient returns the client for calls to other daemons, without TLS.
--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -101,7 +101,7 @@
 
 // supervisionTree returns the supervisor of the components.
 func (g *Gateway) supervisionTree() *supervisor.Supervisor {
-	return &supervisor.Supervisor{Log: g.Log.Events, Children: []supervisor.Child{
+	return &supervisor.Supervisor{Log: g.Log.Events, Children: append([]supervisor.Child{
 		{Name: "log", Part: g.Log},
 		{Name: "configuration", Part: g.config},
 		{Name: "entries", Part: g.entries},
@@ -115,7 +115,7 @@
 		{Name: "datagrams", Part: g.datagrams},
 		{Name: "role-lease", Part: g.roleLease},
 		{Name: "assigner", Part: g.assigner},
-	}}
+	}, g.capacity.children()...)}
 }
 
 // peerHandler serves calls from other daemons.
--- a/assigner/planner.go
+++ b/assigner/planner.go
@@ -22,6 +22,8 @@
 	Generating int     // requests whose prompt has been processed
 	Inflow     float64 // prompt tokens per second that have been placed on it
 	Rate       float64 // prompt tokens per second that it processes
+	Answering  bool    // it isn't ejected
+	LoadKnown  bool    // Generating and Inflow are recent
 }
 
 // Change is a decision to give an engine another role.
--- /dev/null
+++ b/provisioner/group.go
@@ -0,0 +1,114 @@
+package provisioner
+
+import (
+	"time"
+
+	"apricotspool/matcher"
+)
+
+// group is what the planner knows of a group.
+type group struct {
+	present int // engines in the entries that aren't leaving
+	serving int // of these, the ones that answer
+	settled int // of these, the ones that have served for a while
+	leaving int
+
+	ordered     int
+	orderedAt   time.Time // zero if no order is in effect
+	confirmed   bool      // the platform has accepted it
+	lowered     bool      // it was for fewer engines
+	retryAt     time.Time
+	retryPause  time.Duration
+	blockedTill time.Time // no more are to be had until then
+	blockPause  time.Duration
+	wanted      int
+	targets     []target // of the time for which a lower target must hold, with falling numbers
+}
+
+type target struct {
+	at    time.Time
+	count int
+}
+
+// assumed returns the number of engines that are there or have been ordered.
+func (g *group) assumed() int {
+	if g.orderedAt.IsZero() || !g.confirmed {
+		return g.present
+	}
+	return g.ordered
+}
+
+// atMost returns the number of engines that there can be: an order that got no answer may have been carried out.
+func (g *group) atMost() int { return max(g.assumed(), g.present, g.uncertain()) }
+
+// atLeast returns the number of settled engines that remain if all orders are carried out.
+func (g *group) atLeast() int {
+	if g.orderedAt.IsZero() {
+		return g.settled
+	}
+	return max(0, min(g.settled, g.ordered-(g.present-g.settled)))
+}
+
+func (g *group) uncertain() int {
+	if g.orderedAt.IsZero() {
+		return 0
+	}
+	return g.ordered
+}
+
+func (g *group) booting() int { return max(0, g.assumed()-g.present) }
+
+// releasing reports whether engines that have been released are still there.
+func (g *group) releasing() bool { return g.assumed() < g.present }
+
+// expire ends the effect of an order after the time in which it should have shown. Engines that haven't appeared by then
+// are not to be had for a while.
+func (g *group) expire(now time.Time, s *matcher.Scaling) {
+	if g.orderedAt.IsZero() || now.Sub(g.orderedAt) < appearTime(s) {
+		return
+	}
+	if g.confirmed && g.present < g.ordered {
+		g.block(now, s)
+	}
+	if g.present >= g.ordered {
+		g.blockPause = 0
+	}
+	g.orderedAt, g.lowered = time.Time{}, false
+}
+
+// block assumes that no more engines are to be had for a while, for longer each time in a row.
+func (g *group) block(now time.Time, s *matcher.Scaling) {
+	g.blockPause = min(max(s.Boot/2, 2*g.blockPause), 2*s.Boot)
+	g.blockedTill = now.Add(g.blockPause)
+}
+
+// setTarget records the number that is wanted.
+func (g *group) setTarget(now time.Time, count int, hold time.Duration) {
+	g.wanted = count
+	for len(g.targets) > 0 && g.targets[len(g.targets)-1].count <= count {
+		g.targets = g.targets[:len(g.targets)-1]
+	}
+	g.targets = append(g.targets, target{now, count})
+	for now.Sub(g.targets[0].at) > hold {
+		g.targets = g.targets[1:]
+	}
+}
+
+// heldTarget returns the highest number that was wanted while a lower one must hold.
+func (g *group) heldTarget() int { return g.targets[0].count }
+
+// record notes the result of an order.
+func (g *group) record(now time.Time, o Order, r Result, s *matcher.Scaling) {
+	if r == Unavailable { // an earlier order stays in effect
+		g.block(now, s)
+		return
+	}
+	g.ordered, g.orderedAt, g.confirmed, g.lowered = o.Desired, now, r == Accepted, o.Desired < o.Before
+	switch r {
+	case Accepted:
+		g.retryPause, g.retryAt = 0, time.Time{}
+	default:
+		g.retryPause = min(max(minRetryPause, 2*g.retryPause), s.Boot)
+		g.retryAt = now.Add(g.retryPause)
+	}
+}
--- /dev/null
+++ b/provisioner/planner_test.go
@@ -0,0 +1,89 @@
+package provisioner_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"apricotspool/namer"
+	"apricotspool/provisioner"
+)
+
+// lead is the time without a load before a day begins.
+const lead = 14 * time.Second
+
+// loaded returns a fleet after its lead, with a load that begins now.
+func loaded(each int, work func(time.Duration) float64) *fleet {
+	f := newFleet(each, threeDataCentres())
+	f.run(lead)
+	f.work = func(at time.Duration) float64 { return work(at - lead) }
+	return f
+}
+
+// Guards against a plan that follows a wave or an alternating mix, against on-demand engines that are kept although
+// preemptible ones could replace them, and against fewer engines than the peak needs meanwhile.
+func TestWaves(t *testing.T) {
+	for name, work := range map[string]func(time.Duration) float64{
+		"wave":     func(at time.Duration) float64 { return 8 * (1 + 0.6*math.Sin(2*math.Pi*at.Seconds()/11)) },
+		"long":     func(at time.Duration) float64 { return 8 * (1 + 0.6*math.Sin(2*math.Pi*at.Seconds()/15)) },
+		"mix":      func(at time.Duration) float64 { return 8 * (0.55 + 1.32*float64(int(at.Seconds()/2.8)%2)) },
+		"together": wave(8),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := loaded(15, work)
+			f.run(time.Minute)
+			is.Equal(f.count(provisioner.OnDemand), 0)
+			before := f.at()
+			f.run(10 * time.Minute)
+			is.True(f.lowest > 2)
+			is.True(!f.overMax)
+			if name != "together" {
+				is.Equal(f.ordersSince(before), 0)
+			}
+			// The common peaks of several patterns come minutes apart: the plan may follow these, but not the patterns.
+			for _, change := range f.reversals() {
+				is.True(change >= 30*time.Second)
+			}
+		})
+	}
+}
+
+// Guards against fewer engines before any load is known, and against calls in a steady state.
+func TestStartWithoutLoad(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(15, threeDataCentres())
+	f.run(10 * time.Minute)
+	is.Equal(len(f.orders), 0)
+	f = newFleet(0, threeDataCentres())
+	f.run(10 * time.Minute)
+	is.Equal(len(f.orders), 3) // the minimum
+	is.Equal(len(f.members(provisioner.Group{DataCentre: namer.DataCentre("a"), Kind: provisioner.Preemptible})), 1)
+}
+
+// Guards against a plan that can't carry the load once the platform takes back all preemptible engines of a data centre,
+// also when it does so again elsewhere during a burst, and against replacements in the place that has just lost them.
+func TestPreemption(t *testing.T) {
+	is := is.New(t)
+	f := loaded(15, wave(8))
+	f.run(80 * time.Second)
+	f.lowest = math.Inf(1)
+	begin := f.at()
+	f.reclaim("a")
+	f.run(6 * time.Second)
+	f.reclaim("b")
+	f.run(6 * time.Second)
+	for _, o := range f.orders {
+		if o.at >= begin && o.DataCentre == "a" && o.Kind == provisioner.Preemptible {
+			t.Errorf("order at %v: %v", o.at, o)
+		}
+	}
+	is.Equal(f.orders[len(f.orders)-f.ordersSince(begin)].Reason, provisioner.ReasonLoss)
+	is.Equal(f.orders[len(f.orders)-f.ordersSince(begin)].at, begin)
+	f.run(2 * time.Minute)
+	is.True(f.lowest > 1.2)
+	is.Equal(f.count(provisioner.OnDemand), 0) // preemptible engines are to be had again
+	is.True(!f.overMax)
+}
--- a/recorder/metrics.go
+++ b/recorder/metrics.go
@@ -78,5 +78,8 @@
 // Gauge registers a gauge whose value is read when the metrics are written.
 func (m *Metrics) Gauge(name string, value func() float64) { m.set.GetOrCreateGauge(name, value) }
 
+// Collect registers a function that writes metrics whose labels change.
+func (m *Metrics) Collect(write func(w io.Writer)) { m.set.RegisterMetricsWriter(write) }
+
 // Write writes the metrics in the Prometheus text format.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
