--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -23,6 +23,7 @@
 	"apricotspool/meterer"
 	"apricotspool/namer"
 	"apricotspool/placer"
+	"apricotspool/provisioner"
 	"apricotspool/recorder"
 	"apricotspool/registrar"
 	"apricotspool/relayer"
@@ -49,6 +50,8 @@
 	NewCommander func(endpoints forwarder.Service, target func(namer.Endpoint) (forwarder.Target, bool)) assigner.Commander
 	// NewUsageReporter returns a client that reports metering windows.
 	NewUsageReporter func(address netip.AddrPort, calls func(kind string)) meterer.Reporter
+	// NewOrderer returns a sender of orders for engines that reports each call to onCall.
+	NewOrderer func(address netip.AddrPort, onCall func(kind string)) provisioner.Orderer
 	// EchoHeader is the header that endpoints copy from a request to its response.
 	EchoHeader string
 	// ReadinessPath is the path of the load balancer's readiness check.
@@ -80,6 +83,7 @@
 	roleLease  *leaser.Leaser
 	assigner   *assigner.Assigner
 	duties     gatewayDuties
+	capacity   gatewayCapacity
 	draining   atomic.Bool
 }
 
@@ -143,6 +147,7 @@
 	}
 	g.connectRoles(core)
 	g.connectDuties(peers)
+	g.connectCapacity(core, g.duties.lease)
 }
 
 // peerClient returns the client for calls to other daemons, without TLS.
--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -115,7 +116,7 @@
 		{Name: "datagrams", Part: g.datagrams},
 		{Name: "role-lease", Part: g.roleLease},
 		{Name: "assigner", Part: g.assigner},
-	}, g.duties.children()...)}
+	}, slices.Concat(g.duties.children(), g.capacity.children())...)}
 }
 
 // peerHandler serves calls from other daemons.
