placer: Keep endpoints that start or recover within their pace

Cause: nothing bounds what all daemons together send to an endpoint that has just started. Its ledger is empty and has the rate of its kind, and each daemon has its own trial after an ejection. Change: the owner of an engine's ledger grants reservations within the window, which the summaries carry to the other daemons; these judge each first event and tell the owner with the progress of the request. For a plain endpoint each daemon applies its share, and those that bound it exchange what they observe. New endpoints are bounded if others of their kind have answered and are at least as many; recovered engines after three failures without an answer between, plain endpoints after their ejection. TestStateChangesAreReported also counts the two new reports of the crashed engine; it is as strict.

--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -220,7 +220,7 @@
 	for _, e := range entries {
 		view := decider.EndpointView{
 			Name: e.Name, Service: e.Service, Models: e.Models, DataCentre: e.DataCentre, Distance: f.distance(e.DataCentre),
-			Role: e.Role, Concurrency: e.Slots, Leaving: e.Leaving, Incarnation: e.Incarnation, Build: e.Build,
+			Role: e.Role, Concurrency: e.Slots, Leaving: e.Leaving, Incarnation: e.Incarnation, Build: e.Build, WarmupLeft: e.WarmupLeft,
 		}
 		if engine := table.Services[e.Service].Engine; engine != nil {
 			view.KVTokens = engine.KVTokens
--- a/decider/event.go
+++ b/decider/event.go
@@ -218,6 +218,8 @@
 	ReportDuration time.Duration
 	// Limit is the rate limit of a report.
 	Limit namer.Rate
+	// Window is the number of requests without an answer that an endpoint gets, in a report.
+	Window float64
 	// Part is the prompt part of a report, and Ended the endpoints that ended while they ran requests with it.
 	Part  uint64
 	Ended []namer.Endpoint
@@ -243,6 +245,8 @@
 	EndpointReturned   Report = "endpoint-returned"  // readmitted after serving a request
 	EndpointLimited    Report = "endpoint-limited"   // takes Limit requests a second from all daemons together
 	EndpointUnlimited  Report = "endpoint-unlimited" // takes any number of requests again
+	EndpointPaced      Report = "endpoint-paced"     // has started or recovered, and gets Window requests without an answer at first
+	EndpointProved     Report = "endpoint-proved"    // has answered as its kind does, and has no such bound any more
 	DaemonUnresponsive Report = "daemon-silent"      // not asked for reservations for a while
 	DaemonResponsive   Report = "daemon-answers"     // answers reservation requests again
 	PlacementStalled   Report = "placement-stalled"  // a placement took more turns than it can need; the request is refused
--- a/decider/fleet.go
+++ b/decider/fleet.go
@@ -96,4 +96,6 @@
 	KVTokens    namer.Tokens      // KV cache capacity of the engine; 0 when unknown
 	Incarnation namer.Incarnation // a new incarnation has lost its cache and its requests
 	Build       namer.Build
+	// WarmupLeft is the time for which the endpoint says that its speed is reduced after its start.
+	WarmupLeft time.Duration
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -215,6 +215,8 @@
 		event.Str("part", strconv.FormatUint(a.Part, 16)).Int("endings", len(a.Ended)).Any("endpoints", a.Ended)
 	case a.Report == decider.EndpointLimited:
 		event.Str("endpoint", string(a.Endpoint)).Float64("per-second", float64(a.Limit))
+	case a.Report == decider.EndpointPaced:
+		event.Str("endpoint", string(a.Endpoint)).Float64("window", a.Window)
 	case a.Endpoint != "":
 		event.Str("endpoint", string(a.Endpoint)).Str("reason", string(a.Retry))
 	default:
--- a/placer/check.go
+++ b/placer/check.go
@@ -35,6 +35,16 @@
 		if err := m.ProgressUpdate.Work.check(); err != nil {
 			return err
 		}
+		if a := m.ProgressUpdate.Answer; a != nil {
+			if err := a.Check(); err != nil {
+				return err
+			}
+		}
+	}
+	if m.Pace != nil && m.Pace.Answer != nil {
+		if err := m.Pace.Answer.Check(); err != nil {
+			return err
+		}
 	}
 	if m.Pause != nil {
 		if err := checkTime("length", m.Pause.Length); err != nil {
@@ -128,7 +138,7 @@
 }
 
 func (l *Load) check() error {
-	for name, value := range map[string]float64{"rate": l.Rate, "inflow": l.Inflow} {
+	for name, value := range map[string]float64{"rate": l.Rate, "inflow": l.Inflow, "window": l.Window} {
 		if !isAmount(value) {
 			return errors.Errorf("%s is %v, must be finite and not negative", name, value)
 		}
--- a/placer/core.go
+++ b/placer/core.go
@@ -16,6 +16,7 @@
 	"apricotspool/decider"
 	"apricotspool/historian"
 	"apricotspool/namer"
+	"apricotspool/pacer"
 	"apricotspool/throttler"
 )
 
@@ -46,6 +47,7 @@
 	quarantine          quarantine
 	originAsks          map[originAsk][]*request // that wait for the origin of their stream
 	learned             bool
+	begun               []*endpoint // may be bounded, and not reported yet
 
 	generation   uint64 // of the fleet
 	confirmation decider.Confirmation
@@ -66,6 +68,7 @@
 	returns        returns
 	builds         historian.Builds
 	origins        historian.Origins
+	usuals         map[namer.Role]*pacer.Usual
 	only           bool // all streams are known to have one build
 	originsUntold  bool // they no longer are
 }
@@ -104,6 +107,9 @@
 	late        bool
 	started     bool // the first event has arrived
 	suspicion   suspicion
+	awaiting    bool          // the endpoint has answered nothing
+	expected    namer.Seconds // until the first event, at the speed of the endpoint's kind
+	answer      *pacer.Answer // for the owner of the engine's ledger
 
 	unresponsive bool // its endpoint has been reported as unresponsive
 	delivered    bool // the caller has received a part of the response
@@ -159,7 +165,7 @@
 	for _, p := range c.pools {
 		p.endpoints = p.endpoints[:0]
 	}
-	old := c.endpoints
+	old, created := c.endpoints, map[*endpoint]*endpoint{}
 	c.endpoints = make(map[namer.Endpoint]*endpoint, len(fleet.Endpoints))
 	for _, s := range fleet.Services {
 		if c.pools[s.Name] == nil {
@@ -183,7 +189,9 @@
 			c.forgetOrigins(c.seconds(now), p, e)
 		}
 		if e == nil || e.view.Incarnation != view.Incarnation || e.view.Service != view.Service || e.view.Build != view.Build {
-			e = &endpoint{share: throttler.Share{Phase: c.sharePhase(view.Name)}}
+			phase, earlier := c.sharePhase(view.Name), e
+			e = &endpoint{share: throttler.Share{Phase: phase}, paced: paced{paceShare: pacer.Share{Phase: phase}}}
+			created[e] = earlier
 			delete(c.ledgers, view.Name)
 		}
 		if e.view.Role != view.Role {
@@ -202,6 +210,7 @@
 		}
 	}
 	c.observeBuilds(c.seconds(now))
+	c.beginPaces(c.seconds(now), created)
 	for _, p := range c.pools {
 		p.orderDecodeEngines()
 		p.chooseExpress()
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -32,6 +32,8 @@
 	loadUpdatedAt namer.Seconds
 	maxLoadAge    namer.Seconds
 	cached        map[uint64]cachedPrefix
+
+	paced // if it has started or recovered
 }
 
 // cachedPrefix is what is known of a prefix at an engine.
--- a/placer/fault_test.go
+++ b/placer/fault_test.go
@@ -199,5 +199,6 @@
 	is.True(countReports(decider.DaemonUnresponsive, down) > 0)
 	is.True(countReports(decider.DaemonResponsive, down) > 0)
 	is.Equal(len(f.reports), countReports(decider.EndpointEjected, crashed)+countReports(decider.EndpointReturned, crashed)+
-		countReports(decider.DaemonUnresponsive, down)+countReports(decider.DaemonResponsive, down)) // no reports about healthy ones
+		countReports(decider.DaemonUnresponsive, down)+countReports(decider.DaemonResponsive, down)+
+		countReports(decider.EndpointPaced, crashed)+countReports(decider.EndpointProved, crashed)) // no reports about healthy ones
 }
--- a/placer/message.go
+++ b/placer/message.go
@@ -3,6 +3,7 @@
 import (
 	"apricotspool/historian"
 	"apricotspool/namer"
+	"apricotspool/pacer"
 )
 
 // Messages between cores are encoded as CBOR arrays to omit the field names. New fields must be
@@ -20,6 +21,7 @@
 	Limit           *LimitNotice
 	Charge          *LimitCharge
 	Origins         *Origins
+	Pace            *PaceNotice
 }
 
 // Origins tells or asks which builds began streams of a service.
@@ -121,6 +123,8 @@
 	Endpoint      namer.Endpoint
 	Progress      Progress
 	Work          Work // with Placed
+	// Answer is how the engine has answered, if its pace depends on it.
+	Answer *pacer.Answer
 }
 
 // Pause tells all daemons that an endpoint gets no new work for a time.
@@ -151,6 +155,8 @@
 	// tokens are placed, per second.
 	Generating int
 	Inflow     float64
+	// Window is the number of requests that the engine takes without an answer; 0 without a bound. See package pacer.
+	Window float64
 }
 
 // shortDelay is a delay in units of 100 microseconds, which takes few bytes in a message.
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -7,6 +7,7 @@
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/namer"
+	"apricotspool/pacer"
 )
 
 // Observe handles an event of a request.
@@ -37,6 +38,7 @@
 	case decider.EventPrefilled:
 		if q.stage == prefilling {
 			c.recordEndpointSuccess(q.endpoint)
+			c.recordAnswer(at, q, pacer.Good)
 			q.endpoint.recordPrefix(at, q.prefix(), true)
 			c.releaseEndpoint(at, q)
 			q.prefillAttempted, q.prefilled = true, true
@@ -48,6 +50,9 @@
 			c.recordEndpointSuccess(q.endpoint) // the rest of the response may take long
 		}
 	case decider.EventFinished:
+		if q.endpoint != nil && e.Reason != "" {
+			c.recordFailedAnswer(at, q, e.Reason)
+		}
 		c.recordStarted(at, q)
 		if q.endpoint != nil && e.Reason == "" {
 			c.recordEndpointSuccess(q.endpoint)
@@ -79,7 +84,8 @@
 		c.recordOrigin(now, q)
 		c.recordGenerating(now, q)
 		q.endpoint.recordPrefix(now, q.prefix(), true)
-		c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Prefilled})
+		c.recordAnswer(now, q, pacer.Good)
+		c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Prefilled, Answer: q.takeAnswer()})
 	}
 }
 
@@ -89,9 +95,10 @@
 		return
 	}
 	if q.stage == prefilling {
-		c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Prefilled})
+		c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Prefilled, Answer: q.takeAnswer()})
 	}
-	c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Ended})
+	c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Ended, Answer: q.takeAnswer()})
+	q.endAwaiting()
 	q.endpoint.running--
 	q.endpoint.health.endProbe()
 	q.stage, q.endpoint = waiting, nil
@@ -102,6 +109,7 @@
 	if q.abandoned != q.attempt { // otherwise it was recorded before
 		c.recordEndpointFailure(now, q.endpoint, e.Reason)
 	}
+	c.recordFailedAnswer(now, q, e.Reason)
 	if e.RetryAfter > 0 {
 		q.endpoint.turnsAwayUntil = max(q.endpoint.turnsAwayUntil, now+namer.SecondsOf(e.RetryAfter))
 	}
@@ -182,6 +190,7 @@
 func (c *Core) recordEndpointSuccess(e *endpoint) {
 	if e.health.recordSuccess() {
 		c.actions = append(c.actions, decider.Action{Kind: decider.ActionReport, Report: decider.EndpointReturned, Endpoint: e.view.Name})
+		c.begun = append(c.begun, e)
 	}
 }
 
@@ -208,6 +217,7 @@
 		ejected = e.health.recordFailure(now, 1)
 	}
 	if ejected {
+		c.paceEjected(now, e)
 		c.actions = append(c.actions, decider.Action{
 			Kind: decider.ActionReport, Report: decider.EndpointEjected, Endpoint: e.view.Name, Retry: reason, ReportDuration: e.health.ejectionPeriod.Duration(),
 		})
@@ -227,6 +237,7 @@
 		delete(c.pendingReservations, reservation)
 		c.placeAgain(at, q)
 	}
+	c.reportBegun(at)
 	c.checkBuilds(at)
 	c.tellOrigins(at)
 	c.expireOriginAsks(at)
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -128,6 +128,8 @@
 		if e := c.endpoints[message.Charge.Limit.Endpoint]; e != nil {
 			e.bucket.Charge(at, e.limit.Statement())
 		}
+	case message.Pace != nil:
+		c.receivePace(at, from, message.Pace)
 	case message.Origins != nil:
 		c.receiveOrigins(at, from, message.Origins)
 	case message.Quarantine != nil:
@@ -180,7 +182,7 @@
 			return false, wait
 		}
 	}
-	if !r.PermitOnly && !c.ledger(e).reserve(now, reservationKey{from, r.ReservationID}, r, e.view.Concurrency) {
+	if !r.PermitOnly && (!c.withinPace(now, e) || !c.ledger(e).reserve(now, reservationKey{from, r.ReservationID}, r, e.view.Concurrency)) {
 		return false, 0
 	}
 	if limited {
@@ -192,6 +194,7 @@
 func (c *Core) handleProgress(now namer.Seconds, from namer.Host, u *ProgressUpdate) {
 	if e := c.endpoints[u.Endpoint]; e != nil && !e.pool(c).plain {
 		c.ledger(e).update(now, reservationKey{from, u.ReservationID}, u)
+		c.observeProgress(now, e, u)
 	}
 }
 
@@ -222,7 +225,9 @@
 }
 
 func (c *Core) loadSummary(now namer.Seconds, e *endpoint) Load {
-	return c.ledger(e).summary(now, e.view.Name)
+	load := c.ledger(e).summary(now, e.view.Name)
+	load.Window = e.pace.Window()
+	return load
 }
 
 // updateLoad applies a load summary.
@@ -232,6 +237,7 @@
 		return
 	}
 	e.load, e.loadUpdatedAt = load, now
+	c.adoptPace(now, e, load.Window)
 	for _, prefix := range load.NewPrefixes {
 		e.recordPrefix(now, prefix, true)
 	}
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -85,12 +85,17 @@
 	target, longest := namer.SecondsOf(q.Target), q.pool.longestExpress(now, q)
 	ownTokens := max(1, float64(q.PromptTokens)-q.prefixTokens()+q.deliveredTokens)
 	var onTime, late lowestScore
+	paceFull := false // there are engines that only their pace keeps the request from
 	// Prompts are processed apart only for an engine that can generate then.
 	decodeUnavailable := c.rateLimited(now, q, true) || (c.choosesBuild(now, q) && !c.buildOpen(now, q))
 	for _, e := range q.pool.endpoints {
 		if !c.open(now, q, e) || q.hasTried(e) || contains(q.declined, e) {
 			continue
 		}
+		if e.paceFull(now) {
+			paceFull = true
+			continue
+		}
 		rank := affinity.rank(e)
 		first := q.prefixDelay(now, e, &affinity) + e.prefillTime(q.pool, ownTokens)
 		if e.express && first > longest {
@@ -120,7 +125,7 @@
 		onTime.consider(e, e.queueDelay(now, q.class())+first)
 	}
 	if onTime.endpoint == nil {
-		return choice{overloaded: len(q.declined) > 0}
+		return choice{overloaded: len(q.declined) > 0 || paceFull}
 	}
 	budget := namer.Seconds(onTimeMargin)*namer.SecondsOf(q.Target) - (now - q.arrived) - dispatchOverhead
 	if q.deliveredTokens > 0 {
@@ -194,7 +199,7 @@
 	var first *endpoint
 	least := math.MaxInt
 	for _, e := range q.pool.endpoints {
-		if e.view.Role == namer.RolePrefill || !c.open(now, q, e) || q.hasTried(e) || contains(q.declined, e) {
+		if e.view.Role == namer.RolePrefill || !c.open(now, q, e) || e.paceFull(now) || q.hasTried(e) || contains(q.declined, e) {
 			continue
 		}
 		order := e.streamOrder
@@ -223,6 +228,9 @@
 		}
 		score := namer.Seconds(float64(e.activeRequests(now))/float64(max(1, e.view.Concurrency)) + 0.05*c.random.Float64())
 		score += e.inProgress(now) / (fullEngineDelay * max(namer.SecondsOf(q.Target), minTarget))
+		if e.paceFull(now) {
+			score++ // as a full engine
+		}
 		if e != preferred {
 			score += affinityMissLoad
 		}
--- a/placer/place.go
+++ b/placer/place.go
@@ -88,9 +88,17 @@
 	for c.nextTurn(now, q) {
 		found := choice{endpoint: c.pickLeastLoaded(now, q)}
 		if found.endpoint == nil {
+			if found.endpoint = c.pickBeyondPace(now, q); found.endpoint != nil {
+				c.dispatch(now, q, found, true)
+				return
+			}
 			c.refuseUnlessBegun(now, q, classifier.NoEndpoint)
 			return
 		}
+		if !c.takePace(now, found.endpoint) {
+			c.recordDeclined(now, q, found.endpoint, 0)
+			continue
+		}
 		switch c.requestPermit(now, q, &found) {
 		case permitGranted:
 			c.dispatch(now, q, found, true)
@@ -210,6 +218,7 @@
 	}
 	e.running++
 	e.health.recordSent()
+	c.recordAwaiting(now, q, q.expectedTokens(now, found))
 	e.recordPrefix(now, q.prefix(), false)
 	action := decider.Action{
 		Kind: decider.ActionDispatch, Request: q.ID, Attempt: q.attempt, Endpoint: e.view.Name, Priority: q.class(), Retry: q.reason,
@@ -288,6 +297,7 @@
 	q.suspicion.dispatched(now)
 	e.running++
 	e.health.recordSent()
+	c.recordAwaiting(now, q, 0)
 	c.actions = append(c.actions, decider.Action{
 		Kind: decider.ActionDispatch, Request: q.ID, Attempt: q.attempt, Endpoint: e.view.Name, Priority: q.class(),
 		Basis: q.basis(now, choice{endpoint: e}), FinalAttempt: c.isFinal(q), Limited: e.limit.Limited(),
--- a/placer/unresponsive.go
+++ b/placer/unresponsive.go
@@ -144,7 +144,7 @@
 func (c *Core) pickShortestQueue(now namer.Seconds, q *request, ejected bool) *endpoint {
 	var least lowestScore
 	for _, e := range q.pool.endpoints {
-		usable := (e.usable(now, true) && !e.full(now, q)) || (ejected && e.accepts(now))
+		usable := (e.usable(now, true) && !e.full(now, q) && !e.paceFull(now)) || (ejected && e.accepts(now))
 		if e.view.Role == namer.RolePrefill || !usable || e == q.endpoint || q.hasTried(e) || !q.compatible(e) || !c.mayBegin(now, q, e) {
 			continue
 		}
