assigner: Repairs roles and gives new engines one where engines are ordered

Cause: engines come and go by orders, so that those that are left may all process prompts for others, and new ones have roles that nobody planned. The planner left services with one role or few slots alone. Change: where engines are ordered, an all-prefill set gets engines that generate at once, whatever its slots; a set without prefill engines gets some; with few slots, new engines keep the share of prefill engines as it was first observed. Other deployments plan as before.

--- a/assembler/gatewaycapacity.go
+++ b/assembler/gatewaycapacity.go
@@ -69,6 +69,12 @@
 	return services, nil
 }
 
+// ordersEngines reports whether the daemons order the engines of a service.
+func (g *Gateway) ordersEngines(service namer.Service) bool {
+	table := g.fleet.Table()
+	return table != nil && table.Services[service].Scaling != nil && g.Settings.PlatformAPI.Has(loader.DutyAutoscale)
+}
+
 // connectCapacity builds the component that orders engines under the lease of duties.
 func (g *Gateway) connectCapacity(core *placer.Core, lease *leaser.Leaser) {
 	if lease == nil || !g.Settings.PlatformAPI.Has(loader.DutyAutoscale) {
--- a/assembler/gatewayroles.go
+++ b/assembler/gatewayroles.go
@@ -60,6 +60,6 @@
 	g.assigner = &assigner.Assigner{
 		Host: g.Settings.Host, Authority: g.roleLease, Fleet: &gatewayEngines{core, g.dispatcher},
 		Commander:   g.Platform.NewCommander(g.endpoints, g.fleet.Target),
-		HandoverGap: g.Settings.CommandGap.Std(), Log: g.Log.Events,
+		HandoverGap: g.Settings.CommandGap.Std(), Ordered: g.ordersEngines, Log: g.Log.Events,
 	}
 }
--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -56,7 +56,9 @@
 	// HandoverGap is the time for which a new holder sends no commands, so that its commands don't mix with
 	// those of the last one at engines that ignore fencing tokens.
 	HandoverGap time.Duration
-	Log         zerolog.Logger
+	// Ordered reports whether the engines of a service are ordered by the daemons; nil means that none are.
+	Ordered func(namer.Service) bool
+	Log     zerolog.Logger
 
 	once sync.Once
 	done chan struct{}
@@ -109,7 +111,7 @@
 	}
 	for service, engines := range services {
 		if a.planners[service] == nil {
-			a.planners[service] = &Planner{}
+			a.planners[service] = &Planner{Ordered: a.Ordered != nil && a.Ordered(service)}
 		}
 		planner := a.planners[service]
 		planner.Observe(now, engines)
--- a/assigner/planner.go
+++ b/assigner/planner.go
@@ -75,8 +75,14 @@
 	maxChangingShare = 0.25
 )
 
-// Planner plans the roles of the engines of one service. The zero value has observed nothing.
+// Planner plans the roles of the engines of one service. The zero value has observed nothing. Set Ordered before the first call.
 type Planner struct {
+	// Ordered says that engines come and go by orders of the daemons, so that they may lack a role.
+	Ordered bool
+
+	original     map[namer.Endpoint]bool // engines of the first observation
+	prefillShare float64                 // their part that processed prompts for others; 0 if unknown
+
 	created   time.Time // first observation
 	started   time.Time // first observation of a load
 	updatedAt time.Time
@@ -110,6 +116,9 @@
 	if p.created.IsZero() {
 		p.created = now
 	}
+	if p.Ordered {
+		p.observeOrdered(engines)
+	}
 	if p.started.IsZero() {
 		if inflow <= idleFill*rate && generating <= idleFill*meanSlots(engines)*float64(len(engines)) {
 			return
@@ -140,6 +149,12 @@
 			generate = append(generate, e)
 		}
 	}
+	limit := max(1, int(maxChangingShare*float64(len(engines)))) - changing
+	if p.Ordered {
+		if changes := p.repair(now, prefill, generate, limit); len(changes) > 0 {
+			return changes
+		}
+	}
 	if !p.informed(now) || len(prefill)+len(generate) < 2*minGenerate || !hasBothRoles(engines) || meanSlots(engines) < minSlots {
 		return nil
 	}
@@ -147,7 +162,6 @@
 	if !p.persists(now, wanted-len(generate)) {
 		return nil
 	}
-	limit := max(1, int(maxChangingShare*float64(len(engines)))) - changing
 	var changes []Change
 	for len(changes) < limit && len(generate) != wanted {
 		from, to, role := generate, prefill, namer.RolePrefill
