authenticator, activator, relayer: Check of workspace API keys

Cause: the configuration of two deployments has workspaces with API keys; the gateway ignored them, passed keys on to endpoints, and believed a workspace that a caller named itself. Change: the configuration's workspaces and anonymous routes are decoded. authenticator finds the workspace of a key by keyed digest and refuses keys past the revocation bound (less 5% for clock rates). activator, which takes over the activation of configurations from gatewayFleet, holds the table, the keys and the instant at which the store last confirmed both; it uses the clock that counts suspension. relayer checks the key when the route has been matched, at the start of each attempt and directly before the first byte of each call. A daemon past the bound is not ready. New outcome keys-not-current; counters by workspace have at most 129 labels.

--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"apricotspool/activator"
 	"apricotspool/announcer"
 	"apricotspool/archivist"
 	"apricotspool/asserter"
@@ -63,6 +64,7 @@
 
 	metrics    *recorder.Metrics
 	config     *follower.Follower
+	activator  *activator.Activator
 	entries    *follower.Follower
 	registrar  *registrar.Registrar
 	dispatcher *dispatcher.Dispatcher
@@ -115,7 +117,8 @@
 	}
 	readers := &readerSelector{self: g.announcer.Self, seeds: g.Settings.Seeds, announcer: g.announcer, client: g.peerClient()}
 	g.announcer.Readers = readers
-	g.config = &follower.Follower{Source: store, Prefix: g.Platform.ConfigPrefix, StalenessBound: g.Settings.StalenessBounds.Configuration.Std(), Readers: readers, Log: g.Log.Events}
+	g.config = &follower.Follower{Source: store, Prefix: g.Platform.ConfigPrefix, StalenessBound: g.Settings.StalenessBounds.Configuration.Std(), Readers: readers, Clock: timekeeper.Now, Log: g.Log.Events}
+	g.connectKeys()
 	g.entries = &follower.Follower{Source: store, Prefix: g.Platform.EntryPrefix, StalenessBound: g.Settings.StalenessBounds.Endpoints.Std(), MaxValueBytes: follower.MaxEntryBytes, Readers: readers, Clock: timekeeper.Now, Log: g.Log.Events}
 	g.registrar = &registrar.Registrar{Source: g.entries, Decode: g.Platform.DecodeEntry, OnRefused: g.metrics.Counter("apricotspool_entries_refused_total").Inc, Log: g.Log.Events}
 	seed := xxhash.Sum64String(string(g.Settings.Host)) ^ uint64(time.Now().UnixNano())
@@ -126,7 +129,7 @@
 	peers := &corePeers{self: g.Settings.Host, announcer: g.announcer, datagrams: g.datagrams}
 	g.dispatcher = &dispatcher.Dispatcher{Core: core, Retries: g.metrics, Peers: peers, Log: g.Log.Events}
 	g.fleet = &gatewayFleet{
-		settings: g.Settings, platform: g.Platform, config: g.config, entries: g.entries, registrar: g.registrar, announcer: g.announcer,
+		settings: g.Settings, config: g.config, activator: g.activator, entries: g.entries, registrar: g.registrar, announcer: g.announcer,
 		dispatcher: g.dispatcher, core: core, log: g.Log.Events,
 	}
 	g.datagrams.Receive = peers.receiver(core, g.dispatcher, g.fleet.Confirmation)
@@ -134,7 +137,7 @@
 	g.keptParts = &keptParts{core, g.fleet}
 	g.endpoints = &forwarder.Client{EchoHeader: g.Platform.EchoHeader}
 	g.relayer = &relayer.Relayer{
-		Table: g.fleet.Table, Target: g.fleet.Target, Dialect: g.Platform.Dialect, Dispatcher: g.dispatcher,
+		Table: g.activator.Table, Keys: g.activator.View, Target: g.fleet.Target, Dialect: g.Platform.Dialect, Dispatcher: g.dispatcher,
 		Endpoints: g.endpoints, Metrics: g.metrics, Log: g.Log.Requests, Confirmation: g.fleet.Confirmation,
 	}
 	g.connectRoles(core)
--- a/assembler/gatewaybuilds.go
+++ b/assembler/gatewaybuilds.go
@@ -61,7 +61,7 @@
 // resumableServices returns the services whose streams callers can take up, with the builds of their endpoints, and the era
 // of the object API that these were read in.
 func (f *gatewayFleet) resumableServices() (map[namer.Service]archivist.Service, storer.Era) {
-	table, listing := f.table.Load(), f.entries.Listing()
+	table, listing := f.activator.Table(), f.entries.Listing()
 	if table == nil || listing == nil {
 		return nil, 0
 	}
--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"apricotspool/activator"
 	"apricotspool/announcer"
 	"apricotspool/archivist"
 
@@ -22,16 +23,15 @@
 	"apricotspool/namer"
 	"apricotspool/placer"
 	"apricotspool/registrar"
-	"apricotspool/storer"
 	"apricotspool/timekeeper"
 )
 
 // gatewayFleet publishes the active routing table and the endpoints' addresses, and passes the fleet to the
-// decision core when either changes. All mutable fields but table and targets belong to Run's goroutine.
+// decision core when either changes. All mutable fields but targets belong to Run's goroutine.
 type gatewayFleet struct {
 	settings   *loader.GatewaySettings
-	platform   Platform
 	config     *follower.Follower
+	activator  *activator.Activator
 	entries    *follower.Follower
 	registrar  *registrar.Registrar
 	announcer  *announcer.Announcer
@@ -40,9 +40,6 @@
 	core       *placer.Core // used on the dispatcher's goroutine only
 	log        zerolog.Logger
 
-	configObjectVersion storer.Version // version of the configuration's object in the store
-
-	table      atomic.Pointer[matcher.Table]
 	targets    atomic.Pointer[map[namer.Endpoint]forwarder.Target]
 	built      atomic.Pointer[builtFrom]
 	configured atomic.Bool // the core has received the fleet
@@ -61,9 +58,6 @@
 // confirmPeriod is how often the core is told how current the fleet is.
 const confirmPeriod = 200 * time.Millisecond
 
-// Table returns the active routing table, or nil before the first configuration.
-func (f *gatewayFleet) Table() *matcher.Table { return f.table.Load() }
-
 // Target returns the address of an endpoint.
 func (f *gatewayFleet) Target(name namer.Endpoint) (forwarder.Target, bool) {
 	targets := f.targets.Load()
@@ -103,6 +97,7 @@
 			return err
 		}
 		for unchanged := true; unchanged; {
+			f.activator.Confirm()
 			f.confirm()
 			f.checkListed()
 			select {
@@ -155,9 +150,9 @@
 }
 
 func (f *gatewayFleet) update(ctx context.Context) error {
-	f.applyNewestConfig()
+	f.activator.Apply()
 	built := f.nextBuild()
-	table, entries := f.table.Load(), f.registrar.Entries()
+	table, entries := f.activator.Table(), f.registrar.Entries()
 	if table == nil || entries == nil {
 		return nil
 	}
@@ -179,30 +174,6 @@
 	return nil
 }
 
-// applyNewestConfig activates the newest configuration, unless it is invalid or older than the active one.
-func (f *gatewayFleet) applyNewestConfig() {
-	listing := f.config.Listing()
-	if listing == nil {
-		return
-	}
-	object, exists := listing.Objects[f.platform.ConfigKey]
-	if !exists || object.Version <= f.configObjectVersion {
-		return
-	}
-	f.configObjectVersion = object.Version
-	table, err := f.platform.DecodeConfig(object.Value)
-	if err != nil {
-		f.log.Error().Err(err).Msg("configuration-refused")
-		return
-	}
-	if old := f.table.Load(); old != nil && old.Version > table.Version {
-		f.log.Error().Uint64("version", uint64(table.Version)).Uint64("in-force", uint64(old.Version)).Msg("configuration-went-back")
-		return
-	}
-	f.table.Store(table)
-	f.log.Info().Uint64("version", uint64(table.Version)).Int("routes", len(table.Routes)).Msg("configuration-in-force")
-}
-
 // buildFleet converts the routing table, the endpoints and the membership to the core's representation of the fleet.
 func (f *gatewayFleet) buildFleet(table *matcher.Table, entries []registrar.Entry) decider.Fleet {
 	fleet := decider.Fleet{DataCentre: f.settings.DataCentre, Settling: f.settings.StalenessBounds.Endpoints.Std()}
--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -134,7 +134,7 @@
 		g.metrics.Write(w)
 	case r.URL.Path != g.Platform.ReadinessPath:
 		w.WriteHeader(http.StatusNotFound)
-	case g.draining.Load() || !g.fleet.Ready() || g.dispatcher.Stalled():
+	case g.draining.Load() || !g.fleet.Ready() || !g.activator.View().Current() || g.dispatcher.Stalled():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
--- a/classifier/outcome.go
+++ b/classifier/outcome.go
@@ -26,6 +26,7 @@
 	Served             Outcome = "served"
 	BadRequest         Outcome = "bad-request"
 	Unauthenticated    Outcome = "unauthenticated"
+	KeysNotCurrent     Outcome = "keys-not-current"
 	Forbidden          Outcome = "forbidden"
 	NotFound           Outcome = "not-found"
 	TooLarge           Outcome = "too-large"
@@ -64,7 +65,8 @@
 var classes = map[Outcome]Class{
 	Served:             {http.StatusOK, Run, false, "The request was executed and its whole answer returned."},
 	BadRequest:         {http.StatusBadRequest, NotRun, false, "The request is malformed; correct it."},
-	Unauthenticated:    {http.StatusUnauthorized, NotRun, false, "The bearer token is missing or unknown."},
+	Unauthenticated:    {http.StatusUnauthorized, NotRun, false, "The bearer token or API key is missing or unknown."},
+	KeysNotCurrent:     {http.StatusServiceUnavailable, NotRun, true, "The store has not confirmed this daemon's API keys recently enough to check the request's; ask again, maybe another daemon answers."},
 	Forbidden:          {http.StatusForbidden, NotRun, false, "The caller may not use this service or rank."},
 	NotFound:           {http.StatusNotFound, NotRun, false, "The path, service, model or stream does not exist."},
 	TooLarge:           {http.StatusRequestEntityTooLarge, NotRun, false, "The body, header or prompt is over the limit."},
--- a/matcher/route.go
+++ b/matcher/route.go
@@ -36,6 +36,8 @@
 	Priority  int // 0 is the most urgent
 	Attempts  int // maximum number of endpoints that one request is sent to; at least 1
 	Resumable bool
+	// Anonymous routes serve requests without a known key. It has no effect if the table has no workspaces.
+	Anonymous bool
 }
 
 // WeightedService is a service with its weight in a route.
--- a/matcher/table.go
+++ b/matcher/table.go
@@ -15,6 +15,8 @@
 	Routes   []Route
 	Services map[namer.Service]Service
 	Limits   Limits
+	// Workspaces own the keys that requests need, unless there are none. Set before the table is shared.
+	Workspaces []Workspace
 
 	byHost map[string][]*Route // longest prefix first
 }
--- a/recorder/metrics.go
+++ b/recorder/metrics.go
@@ -13,7 +13,8 @@
 
 // Metrics holds the metrics of one daemon. Daemons in the same process have separate sets.
 type Metrics struct {
-	set *metrics.Set
+	set        *metrics.Set
+	workspaces workspaceLabels
 }
 
 // NewMetrics returns a set in which the counter of every outcome and retry reason exists with value 0.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -35,6 +35,9 @@
 		x.ticket.Failed(action.Attempt, action.Endpoint, classifier.RetryEndpointLeaving, true, x.stream.events)
 		return false
 	}
+	if x.endIfKeyGone() {
+		return true
+	}
 	prefill := action.Kind == decider.ActionPrefill
 	ctx, wd := x.relayer.startWatchdog(ctx, watched{
 		target: target, kind: callKind{service: x.service, prefill: prefill}, callID: x.call.ID, attempt: action.Attempt, ticket: x.ticket, predicted: action.Basis.Expected,
@@ -95,11 +98,12 @@
 func (x *exchange) buildCall(a Attempt) forwarder.Call {
 	header := x.r.Header.Clone()
 	forwarder.RemoveHopByHop(header) // before Encode: the caller must not name headers of the daemon in Connection
+	a.Authenticated, a.Workspace = x.identity.Authenticated, x.workspace
 	x.relayer.Dialect.Encode(header, a)
 	path, query, _ := strings.Cut(x.r.RequestURI, "?")
 	call := forwarder.Call{
 		Method: x.r.Method, Path: path, Query: query, Host: x.r.Host, Header: header, Body: x.bodyReader(), Length: int64(len(x.body)),
-		Abandoned: x.hasLeft,
+		Abandoned: x.sendCheck(),
 	}
 	switch {
 	case x.call.ID == "":
@@ -148,7 +152,7 @@
 	if notRun {
 		x.notRun = proofNotSent
 	}
-	if x.endIfLeft(err) || x.endIfDone(ctx) {
+	if x.endIfUnsent(err) || x.endIfDone(ctx) {
 		return true
 	}
 	reason := cmp.Or(abandoned(ctx), classifier.RetryStreamBroken)
@@ -330,7 +334,7 @@
 		x.ticket.Prefilled(action.Attempt, action.Endpoint)
 		return false
 	}
-	if x.endIfLeft(err) || x.endIfDone(ctx) {
+	if x.endIfUnsent(err) || x.endIfDone(ctx) {
 		return true
 	}
 	reason := classifier.RetryStreamBroken
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -10,6 +10,7 @@
 
 	"apricotspool/decider"
 	"apricotspool/detector"
+	"apricotspool/matcher"
 	"apricotspool/namer"
 )
 
@@ -50,6 +51,8 @@
 	LastEvent                 string // id of the last event that the caller received; empty to start from the beginning
 	// Resumes is the id of the call whose response brought the stream's first event; empty if not given.
 	Resumes string
+	// Credentials are the API keys that the caller sent; a proper request has at most one.
+	Credentials []matcher.Key
 }
 
 // Attempt holds the parameters of one attempt to serve a request.
@@ -66,6 +69,10 @@
 	// Backup is the address of an endpoint that the request's KV cache is replicated to as it grows; the
 	// zero value for none.
 	Backup netip.AddrPort
+	// Authenticated is set if the deployment has workspaces. The endpoint then gets Workspace, or none if it is empty,
+	// and never a key or a workspace that the caller has named itself.
+	Authenticated bool
+	Workspace     namer.Caller
 }
 
 // Handle identifies a prompt's KV cache that one engine holds for another.
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"apricotspool/asserter"
+	"apricotspool/authenticator"
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
@@ -39,7 +40,10 @@
 	version namer.ConfigVersion // version of the routing table
 	route   *matcher.Route
 	service namer.Service
-	engine  bool // the service is one of engines, which report their load
+	// identity is that of the request's key in its last check, and workspace its workspace; empty for none.
+	identity  authenticator.Identity
+	workspace namer.Caller
+	engine    bool // the service is one of engines, which report their load
 	// eventTokens is the number of output tokens in one event of the service's streams; 0 if unknown.
 	eventTokens namer.Tokens
 	deadline    time.Time // the earlier of the caller's and the route's
@@ -87,12 +91,16 @@
 		// All daemons choose the same service for a stream, so that it goes on there.
 		random = func(n int) int { return int(xxhash.Sum64String(key) % uint64(n)) }
 	}
+	x.route = route
+	if !x.authenticate() {
+		return false
+	}
 	service, found := pickService(route, random)
 	if !found {
 		x.refuse(classifier.NoEndpoint, defaultRetryAfter)
 		return false
 	}
-	x.route, x.service = route, service
+	x.service = service
 	if engine := table.Services[service].Engine; engine != nil {
 		x.engine, x.eventTokens = true, engine.EventTokens
 	}
@@ -177,7 +185,7 @@
 	request := decider.Request{
 		ID: namer.NewStreamID(), Service: x.service, Model: x.call.Model, Idempotent: x.route.Repeatable(),
 		PromptTokens: x.call.Prompt, MaxTokens: x.expectedOutput(), Deadline: x.deadline, Target: x.route.Target, TargetGap: x.route.TargetGap,
-		Priority: x.route.Priority, Parts: x.call.Parts, Attempts: x.route.Attempts, Patience: patience,
+		Caller: x.workspace, Priority: x.priority(), Parts: x.call.Parts, Attempts: x.route.Attempts, Patience: patience,
 		Fingerprint: x.fingerprint,
 		Stream:      x.streamKey(), Continues: x.continues(), Lifetime: max(x.route.Timeout, x.call.Timeout),
 	}
@@ -299,6 +307,9 @@
 	took := time.Since(x.startTime)
 	x.relayer.Metrics.Outcome(outcome)
 	x.relayer.Metrics.Request(x.service, took)
+	if x.workspace != "" {
+		x.relayer.Metrics.Workspace(x.workspace, outcome)
+	}
 	x.logOutcome(took)
 }
 
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -92,6 +92,7 @@
 	}
 	event.Str("request", x.call.ID).Str("service", string(x.service)).Str("outcome", string(x.outcome)).
 		Uint64("version", uint64(x.version)).Bool("may-have-run", x.mayHaveRun).Dur("took-ms", took)
+	addOptional(event, "workspace", string(x.workspace))
 	addOptional(event, "resumes", x.call.Resumes)
 	if x.confirmation.Known {
 		event.Dur("entries-age-ms", x.confirmation.Age)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"apricotspool/authenticator"
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
@@ -37,6 +38,8 @@
 	Metrics    *recorder.Metrics
 	// Confirmation says how current the decision core's knowledge of the endpoints is; nil if nobody can tell.
 	Confirmation func() decider.Confirmation
+	// Keys returns the API keys in force; nil if requests need none.
+	Keys func() authenticator.View
 	// Log receives a line for each decision about a request, each failed attempt and each outcome.
 	Log zerolog.Logger
 
