--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"apricotspool/authenticator"
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
@@ -39,6 +40,8 @@
 	Confirmation func() decider.Confirmation
 	// Meter counts the requests of workspaces; nil means no metering.
 	Meter Meter
+	// Keys returns the API keys in force; nil if requests need none.
+	Keys func() authenticator.View
 	// Log receives a line for each decision about a request, each failed attempt and each outcome.
 	Log zerolog.Logger
 
