--- a/assembler/gatewaycapacity.go
+++ b/assembler/gatewaycapacity.go
@@ -32,7 +32,7 @@
 
 // Engines implements provisioner.Fleet.
 func (o *orderedEngines) Engines(ctx context.Context) (map[namer.Service]provisioner.Service, error) {
-	table := o.fleet.Table()
+	table := o.fleet.activator.Table()
 	services := map[namer.Service]provisioner.Service{}
 	if table == nil || !o.fleet.Ready() {
 		return services, nil
@@ -71,7 +71,7 @@
 
 // ordersEngines reports whether the daemons order the engines of a service.
 func (g *Gateway) ordersEngines(service namer.Service) bool {
-	table := g.fleet.Table()
+	table := g.fleet.activator.Table()
 	return table != nil && table.Services[service].Scaling != nil && g.Settings.PlatformAPI.Has(loader.DutyAutoscale)
 }
 
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -43,10 +43,9 @@
 	version namer.ConfigVersion // version of the routing table
 	route   *matcher.Route
 	service namer.Service
-	// identity is that of the request's key in its last check, and workspace its workspace; empty for none.
-	identity  authenticator.Identity
-	workspace namer.Caller
-	engine    bool // the service is one of engines, which report their load
+	// identity is that of the request's key in its last check; empty for none.
+	identity authenticator.Identity
+	engine   bool // the service is one of engines, which report their load
 	// eventTokens is the number of output tokens in one event of the service's streams; 0 if unknown.
 	eventTokens namer.Tokens
 	deadline    time.Time // the earlier of the caller's and the route's
