--- a/assembler/gatewayduties.go
+++ b/assembler/gatewayduties.go
@@ -32,27 +32,26 @@
 	if !g.Settings.PlatformAPI.Has(loader.DutyMetering) && !g.Settings.PlatformAPI.Has(loader.DutyAutoscale) {
 		return
 	}
-	eligible := func() bool { return !g.draining.Load() && competes(g.Settings.Host, g.announcer.Members()) }
 	process := namer.Process{Host: g.Settings.Host, Address: g.Settings.Peers, Incarnation: namer.NewIncarnation(time.Now())}
 	g.duties.lease = &leaser.Leaser{
 		Store: g.announcer.Store, Name: leaser.Duties, Log: g.Log.Events, Clock: suspensionClock{},
-		Process: process, Eligible: eligible,
+		Process: process, Eligible: func() bool { return !g.draining.Load() && competes(g.Settings.Host, g.announcer.Members()) },
 	}
 	g.duties.lease.SetDutyTimes(g.Settings.CommandGap.Std())
 	if g.Settings.PlatformAPI.Has(loader.DutyMetering) {
-		g.connectMeterer(process, eligible, peers)
+		g.connectMeterer(process, peers)
 	}
 }
 
 // connectMeterer builds the component that counts and reports the requests of workspaces.
-func (g *Gateway) connectMeterer(process namer.Process, candidate func() bool, peers *corePeers) {
+func (g *Gateway) connectMeterer(process namer.Process, peers *corePeers) {
 	settled, reported, late := g.metrics.Counter("apricotspool_usage_windows_settled_total"),
 		g.metrics.Counter("apricotspool_usage_windows_reported_total"), g.metrics.Counter("apricotspool_usage_windows_late_total")
 	var sources atomic.Int64
 	g.metrics.Gauge("apricotspool_usage_daemons", func() float64 { return float64(sources.Load()) })
 	g.duties.meterer = &meterer.Meterer{
 		Host: process.Host, Incarnation: process.Incarnation, Length: g.Settings.Metering.Window.Std(), Due: g.Settings.Metering.Due.Std(),
-		Lease: g.duties.lease, Candidate: candidate, Store: g.announcer.Store, Send: peers.SendUsage,
+		Lease: g.duties.lease, Store: g.announcer.Store, Send: peers.SendUsage,
 		Reporter: g.Platform.NewUsageReporter(g.Settings.PlatformAPI.Address, objectAPICallCounter(g.metrics)),
 		Steady:   timekeeper.Now, TimeOfDay: time.Now, Log: g.Log.Events,
 		OnSettled: func(n int) {
--- a/meterer/meterer.go
+++ b/meterer/meterer.go
@@ -53,8 +53,6 @@
 	Lease       Lease
 	Store       Store
 	Reporter    Reporter
-	// Candidate reports whether this daemon competes for the lease.
-	Candidate func() bool
 	// Send sends a message to the other candidates for the lease.
 	Send func(Message)
 	// Steady includes the time in which the host was suspended; TimeOfDay may step.
--- a/meterer/settler.go
+++ b/meterer/settler.go
@@ -31,11 +31,9 @@
 	// handoverTime after a daemon had the authority, no other one can have it: a holder's authority ends by twice the margin
 	// before another daemon may acquire the lease.
 	handoverTime = 2 * leaser.DutyMargin
-	// readTimeout bounds a read by a candidate, which has no authority that bounds it.
-	readTimeout = 2 * time.Second
 )
 
-// settler is the state of the holder and of the candidates that may be the next one.
+// settler is what the holder knows of the settled windows, and a former holder of those that it has settled.
 type settler struct {
 	stored  ledger         // as last confirmed by the store
 	version storer.Version // of stored
@@ -48,7 +46,6 @@
 	doubtful     Window // see settlement
 	era          storer.Era
 	heldAt       timekeeper.Instant // when this daemon last had the authority
-	readAt       timekeeper.Instant
 	retryAt      timekeeper.Instant
 }
 
@@ -66,13 +63,12 @@
 	}
 }
 
-// step makes the calls of the holder that are due, or keeps what a candidate needs when it becomes the holder.
+// step makes the calls of the holder that are due.
 func (m *Meterer) step(ctx context.Context) {
 	m.observeEra()
 	authority, held := m.Lease.Duties()
 	if !held {
 		m.loaded = false
-		m.follow(ctx)
 		return
 	}
 	ctx, end, err := authority.Begin(ctx)
@@ -117,21 +113,6 @@
 	return windowAt(m.now().Add(-settleDelay), m.Length) - 1
 }
 
-// follow reads the settled windows about once in each. A candidate that knows them reports them with the same counts even if
-// the store is restored from an older copy.
-func (m *Meterer) follow(ctx context.Context) {
-	if !m.Candidate() {
-		return
-	}
-	if now := m.Steady(); m.readAt == 0 || now.Sub(m.readAt) >= m.Length {
-		m.readAt = now
-		ctx, cancel := context.WithTimeout(ctx, readTimeout)
-		defer cancel()
-		m.read(ctx)
-		m.loaded = false
-	}
-}
-
 // read reads the settled windows from the store and reports whether it could.
 func (m *Meterer) read(ctx context.Context) bool {
 	object, err := m.Store.Get(ctx, SettledKey)
