--- a/provisioner/fleet_test.go
+++ b/provisioner/fleet_test.go
@@ -62,7 +62,7 @@
 	}
 	f.begun = f.now
 	for d := range prices {
-		f.add(provisioner.Group{DataCentre: d, Kind: provisioner.OnDemand}, each, f.now)
+		f.add(provisioner.Group{DataCentre: d, Kind: provisioner.OnDemand}, each, time.Time{})
 	}
 	return f
 }
--- a/provisioner/planner.go
+++ b/provisioner/planner.go
@@ -246,7 +246,10 @@
 	wanted.all, wanted.afterLoss = max(0, wanted.all-p.fixed), max(0, wanted.afterLoss-p.fixed)
 	kept.all, kept.afterLoss = max(0, kept.all-p.fixed), max(0, kept.afterLoss-p.fixed)
 	plan, keep := cheapest(offers, wanted), cheapest(offers, kept)
-	hold := boots(s, holdBoots)
+	hold, replacing := boots(s, holdBoots), false
+	for name, g := range p.groups {
+		replacing = replacing || (name.Kind == OnDemand && p.demand.known() && g.present > keep[name.DataCentre][OnDemand])
+	}
 	for name, g := range p.groups {
 		if !slices.ContainsFunc(offers, func(o offer) bool { return o.dataCentre == name.DataCentre }) {
 			g.targets = nil
@@ -260,6 +263,9 @@
 			atLeast = count
 		}
 		g.setTarget(now, max(count, atLeast)+silent, hold)
+		if replacing && name.Kind == Preemptible {
+			count = max(count, atLeast) // enough for the release of the dearer engines
+		}
 		g.wanted = count + silent
 	}
 }
@@ -368,6 +374,10 @@
 			(found && cmp.Or(cmp.Compare(price, highest), cmp.Compare(left[name], left[dearest])) <= 0) {
 			continue
 		}
+		other := Group{name.DataCentre, 1 - name.Kind}
+		if g.present-released[name]+p.group(other).present-released[other] <= n.min {
+			continue
+		}
 		left[name]--
 		all, afterLoss := remaining(left)
 		left[name]++
