placer, pacer: Presume the kind's speed while an endpoint is bounded; tests by pattern

Cause: an engine that was slow when it started kept the measured rate and got no work afterwards, since without work nothing is measured. A request without an answer was no evidence, so that an endpoint that stops answering got one from each daemon. Change: while an engine has a bound, its ledger uses the rate of its kind, except for four times as long as its last late answer took; what was measured is dropped with the bound. Overdue requests count, and again after twice as long. Requests sent before the bound don't fill the window. Failures bound an engine only while half of its kind has no bound.

--- a/pacer/pace.go
+++ b/pacer/pace.go
@@ -20,6 +20,7 @@
 const (
 	Good    Verdict = iota
 	Late            // the first event came much later than from other endpoints of the kind
+	Overdue         // the first event hasn't come for that long; it may still come
 	Refused         // the endpoint didn't take the request
 	Failed          // no connection, or the response broke off
 	verdicts
@@ -51,6 +52,9 @@
 	// failuresInRow is the number of failures without an answer between them that bounds an endpoint which has been
 	// proved. A single daemon that can't reach it doesn't cause them while others get answers.
 	failuresInRow = 3
+	// trialPause is the time after which an endpoint that was late is tried again at the speed of its kind, as a multiple of
+	// what its last answer took. One that stays slow costs a late request in each such time.
+	trialPause = 4
 )
 
 // Pace bounds the unanswered requests at an endpoint. The zero value has no bound. Its methods return true if the endpoint
@@ -63,7 +67,8 @@
 	failures  int     // in a row
 	fellAt    namer.Seconds
 	fallen    bool
-	slow      namer.Seconds // what the last late answer took; 0 after a good one
+	slow      namer.Seconds // what a late answer took; 0 after a good one
+	slowAt    namer.Seconds // when the last late answer came
 }
 
 // Kind describes what other endpoints of a kind do.
@@ -96,6 +101,13 @@
 // otherwise.
 func (p *Pace) Window() float64 { return p.window }
 
+// Presumed reports whether the endpoint is presumed to have the speed of its kind, whatever has been measured: while it has a
+// bound, unless it was late a short time ago. What is measured while it starts doesn't hold afterwards, and without work
+// nothing else would be measured.
+func (p *Pace) Presumed(now namer.Seconds) bool {
+	return p.window > 0 && (p.slow == 0 || now-p.slowAt >= trialPause*p.slow)
+}
+
 // Admits reports whether the endpoint takes another request, beside those that it hasn't answered.
 func (p *Pace) Admits(unanswered int) bool { return p.window == 0 || float64(unanswered+1) <= p.window }
 
@@ -155,8 +167,11 @@
 
 func (p *Pace) fall(now namer.Seconds, a Answer) {
 	p.inRow = 0
-	if a.Verdict == Late {
-		p.slow = max(p.slow, a.Took)
+	switch a.Verdict {
+	case Late:
+		p.slow, p.slowAt = a.Took, now
+	case Overdue:
+		p.slow, p.slowAt = max(p.slow, a.Took), now
 	}
 	if p.fallen && now-a.Took < p.fellAt {
 		return // it was sent before the last fall
--- a/pacer/pace_test.go
+++ b/pacer/pace_test.go
@@ -114,7 +114,7 @@
 	is := is.New(t)
 	var p pacer.Pace
 	for i := range 100 {
-		for _, v := range []pacer.Verdict{pacer.Failed, pacer.Late, pacer.Refused, pacer.Failed, pacer.Good} {
+		for _, v := range []pacer.Verdict{pacer.Failed, pacer.Late, pacer.Overdue, pacer.Refused, pacer.Failed, pacer.Good} {
 			is.True(!p.Observe(namer.Seconds(i), pacer.Answer{Verdict: v}, kind))
 		}
 	}
@@ -139,7 +139,7 @@
 			case 1:
 				p.Adopt(rapid.Float64Range(0, 1000).Draw(t, "window"), k)
 			default:
-				p.Observe(now, pacer.Answer{Verdict: pacer.Verdict(rapid.IntRange(0, 3).Draw(t, "verdict")), Took: namer.Seconds(rapid.Float64Range(0, 2).Draw(t, "took"))}, k)
+				p.Observe(now, pacer.Answer{Verdict: pacer.Verdict(rapid.IntRange(0, 4).Draw(t, "verdict")), Took: namer.Seconds(rapid.Float64Range(0, 2).Draw(t, "took"))}, k)
 			}
 			if p.Bounded() && (p.Window() < 1 || p.Window() > max(1, float64(k.Slots))) {
 				t.Fatalf("window is %v with %d slots", p.Window(), k.Slots)
--- a/placer/check.go
+++ b/placer/check.go
@@ -143,8 +143,8 @@
 			return errors.Errorf("%s is %v, must be finite and not negative", name, value)
 		}
 	}
-	if l.Running < 0 || l.Streams < 0 || l.Generating < 0 {
-		return errors.Errorf("running %d, streams %d, generating %d must not be negative", l.Running, l.Streams, l.Generating)
+	if l.Running < 0 || l.Streams < 0 || l.Generating < 0 || l.Unanswered < 0 {
+		return errors.Errorf("running %d, streams %d, generating %d, unanswered %d must not be negative", l.Running, l.Streams, l.Generating, l.Unanswered)
 	}
 	if err := checkTime("prefix TTL", l.PrefixTTL); err != nil {
 		return err
--- a/placer/check_test.go
+++ b/placer/check_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"apricotspool/namer"
+	"apricotspool/pacer"
 	"apricotspool/placer"
 	"apricotspool/quarantiner"
 )
@@ -34,8 +35,12 @@
 				Endpoint: endpoint.Draw(t, "endpoint"), Rate: number.Draw(t, "rate"), Running: rapid.Int().Draw(t, "running"),
 				Streams: rapid.Int().Draw(t, "streams"), Urgent: rapid.Int().Draw(t, "urgent"), PrefixTTL: seconds.Draw(t, "ttl"),
 				InProgress: seconds.Draw(t, "in progress"), Generating: rapid.Int().Draw(t, "generating"), Inflow: number.Draw(t, "inflow"),
+				Window: number.Draw(t, "window"), Unanswered: rapid.Int().Draw(t, "unanswered"),
 			}
 		})
+		answer := rapid.Custom(func(t *rapid.T) *pacer.Answer {
+			return &pacer.Answer{Verdict: pacer.Verdict(rapid.IntRange(0, 6).Draw(t, "verdict")), Took: seconds.Draw(t, "took")}
+		})
 		part := rapid.Map(rapid.Uint64Range(0, 3), func(x uint64) quarantiner.Part { return quarantiner.Part(x) })
 		process := rapid.Custom(func(t *rapid.T) quarantiner.Process { return quarantiner.Process{Endpoint: endpoint.Draw(t, "ended")} })
 		ending := rapid.Custom(func(t *rapid.T) placer.EngineEnding {
@@ -61,7 +66,7 @@
 		for range rapid.IntRange(1, 20).Draw(t, "messages") {
 			m := placer.Message{Loads: rapid.SliceOfN(load, 0, 3).Draw(t, "loads")}
 			id := placer.ReservationID(rapid.Uint32Range(0, 3).Draw(t, "reservation"))
-			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			switch rapid.IntRange(0, 6).Draw(t, "kind") {
 			case 0:
 				m.ReserveRequest = &placer.ReserveRequest{ReservationID: id, Endpoint: endpoint.Draw(t, "endpoint"), Work: work.Draw(t, "work"), Budget: seconds.Draw(t, "budget")}
 			case 1:
@@ -69,11 +74,14 @@
 			case 2:
 				m.ProgressUpdate = &placer.ProgressUpdate{
 					ReservationID: id, Endpoint: endpoint.Draw(t, "endpoint"), Progress: placer.Progress(rapid.IntRange(0, 5).Draw(t, "progress")), Work: work.Draw(t, "work"),
+					Answer: answer.Draw(t, "answer"),
 				}
 			case 3:
 				m.Pause = &placer.Pause{Endpoint: endpoint.Draw(t, "endpoint"), Length: seconds.Draw(t, "length")}
 			case 4:
 				m.Quarantine = quarantine.Draw(t, "quarantine")
+			case 5:
+				m.Pace = &placer.PaceNotice{Endpoint: endpoint.Draw(t, "endpoint"), Answer: answer.Draw(t, "answer")}
 			}
 			messages = append(messages, m)
 		}
--- a/placer/core.go
+++ b/placer/core.go
@@ -109,6 +109,8 @@
 	suspicion   suspicion
 	awaiting    bool          // the endpoint has answered nothing
 	expected    namer.Seconds // until the first event, at the speed of the endpoint's kind
+	boundAt     namer.Seconds // when the endpoint was last bounded, as of the attempt
+	overdueAt   namer.Seconds // when the missing answer is judged
 	answer      *pacer.Answer // for the owner of the engine's ledger
 
 	unresponsive bool // its endpoint has been reported as unresponsive
--- a/placer/ledger.go
+++ b/placer/ledger.go
@@ -22,6 +22,7 @@
 	currentSince namer.Seconds
 	rate         rateEstimate
 	defaultRate  float64 // until rate has been measured
+	presumed     bool    // the engine is presumed to be as fast as its kind
 	cacheTokens  float64 // capacity of the engine's memory; 0 when unknown
 	newTokens    inflow  // tokens that enter the cache
 	placedTokens inflow  // prompt tokens to process
@@ -110,7 +111,7 @@
 }
 
 func (l *ledger) rateOrDefault() float64 {
-	if rate := l.rate.value(); rate > 0 {
+	if rate := l.rate.value(); rate > 0 && (!l.presumed || rate > l.defaultRate) {
 		return rate
 	}
 	if l.defaultRate > 0 {
@@ -119,6 +120,13 @@
 	return defaultPrefillRate
 }
 
+func (l *ledger) usualLateness() namer.Seconds {
+	if l.presumed {
+		return 0
+	}
+	return l.lateness.value
+}
+
 // reserve grants a reservation if the prompt can be processed within its budget and without exceeding the
 // pause target of the engine's streams.
 func (l *ledger) reserve(now namer.Seconds, key reservationKey, r *ReserveRequest, slots int) bool {
@@ -134,7 +142,7 @@
 		return false
 	}
 	prefillTime := l.prefillTime(now, r.Work)
-	if l.queueDelay(now, r.Work.Class)+prefillTime+l.lateness.value > r.Budget {
+	if l.queueDelay(now, r.Work.Class)+prefillTime+l.usualLateness() > r.Budget {
 		return false
 	}
 	if l.minGap > 0 && !r.Work.Stream && l.topStreamClass <= r.Work.Class && !l.prefillQuota.allows(now, prefillTime, l.minGap) {
@@ -339,7 +347,7 @@
 		}
 	}
 	for class := range load.QueueDelay {
-		load.QueueDelay[class] = shortDelayOf(l.queueDelay(now, class) + l.lateness.value)
+		load.QueueDelay[class] = shortDelayOf(l.queueDelay(now, class) + l.usualLateness())
 	}
 	return load
 }
--- a/placer/message.go
+++ b/placer/message.go
@@ -114,6 +114,7 @@
 	Placed    Progress = iota // dispatched without a reservation request
 	Prefilled                 // the prompt has been processed
 	Ended                     // the request has left the engine
+	Awaiting                  // the prompt should have been processed, and hasn't been
 )
 
 // ProgressUpdate reports the progress of a request to the owner of a ledger.
@@ -155,8 +156,10 @@
 	// tokens are placed, per second.
 	Generating int
 	Inflow     float64
-	// Window is the number of requests that the engine takes without an answer; 0 without a bound. See package pacer.
-	Window float64
+	// Window is the number of requests that the engine takes without an answer, 0 without a bound, and Unanswered the
+	// number of those that count. See package pacer.
+	Window     float64
+	Unanswered int
 }
 
 // shortDelay is a delay in units of 100 microseconds, which takes few bytes in a message.
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -238,6 +238,7 @@
 		c.placeAgain(at, q)
 	}
 	c.reportBegun(at)
+	c.judgeOverdue(at)
 	c.checkBuilds(at)
 	c.tellOrigins(at)
 	c.expireOriginAsks(at)
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -15,8 +15,9 @@
 type paced struct {
 	pace       pacer.Pace
 	paceShare  pacer.Share // plain endpoints
-	unanswered int         // requests of this daemon without a first event
-	byAll      bool        // all daemons have learned of the endpoint at the same time
+	unanswered int         // requests of this daemon without a first event, since the endpoint was last bounded
+	boundAt    namer.Seconds
+	byAll      bool // all daemons have learned of the endpoint at the same time
 	// others are the daemons that bound a plain endpoint after an ejection, with the time at which each was last heard.
 	others map[namer.Host]namer.Seconds
 }
@@ -128,6 +129,9 @@
 	report := decider.EndpointPaced
 	if !e.pace.Bounded() {
 		report, e.byAll, e.others = decider.EndpointProved, false, nil
+		if l := c.ledgers[e.view.Name]; l != nil {
+			l.rate, l.lateness = rateEstimate{}, latenessEstimate{}
+		}
 	}
 	if e.pool(c).plain || c.ledgerOwner(now, e).Host == c.Self {
 		c.actions = append(c.actions, decider.Action{Kind: decider.ActionReport, Report: report, Endpoint: e.view.Name, Window: e.pace.Window()})
@@ -138,7 +142,8 @@
 func (c *Core) recordAwaiting(now namer.Seconds, q *request, tokens float64) {
 	e := q.endpoint
 	e.unanswered++
-	q.awaiting, q.answer, q.expected = true, nil, 0
+	q.overdueAt = now
+	q.awaiting, q.answer, q.expected, q.boundAt = true, nil, 0, e.boundAt
 	if q.pool.plain {
 		return
 	}
@@ -161,10 +166,10 @@
 
 // endAwaiting removes a request from those without a first event.
 func (q *request) endAwaiting() {
-	if q.awaiting {
+	if q.awaiting && q.boundAt == q.endpoint.boundAt {
 		q.endpoint.unanswered--
-		q.awaiting = false
 	}
+	q.awaiting = false
 }
 
 // recordAnswer judges the first event of a response, or what has come in its place.
@@ -180,7 +185,7 @@
 		if usual.Late(a.Took, q.expected) {
 			a.Verdict = pacer.Late
 		}
-		if !e.pace.Bounded() && !q.late {
+		if !q.late && (!e.pace.Bounded() || !usual.Known()) {
 			usual.Observe(a.Took, q.expected)
 		}
 		if q.late && a.Verdict == pacer.Late {
@@ -189,13 +194,38 @@
 	}
 	switch {
 	case q.pool.plain && e.pace.Bounded():
-		c.broadcast(Message{Pace: &PaceNotice{Endpoint: e.view.Name, Incarnation: e.view.Incarnation, Answer: &a}})
-		c.observePace(now, e, a)
+		c.sharePace(now, e, a)
 	case !q.pool.plain && (e.pace.Bounded() || a.Verdict == pacer.Failed):
 		q.answer = &a
 	}
 }
 
+// judgeOverdue tells of requests at endpoints with a bound that should have been answered, and again when they have taken
+// twice as long.
+func (c *Core) judgeOverdue(now namer.Seconds) {
+	for _, q := range c.requests {
+		if !q.awaiting || now <= q.overdueAt || q.late || !q.endpoint.pace.Bounded() || c.endpoints[q.endpoint.view.Name] != q.endpoint {
+			continue
+		}
+		a := pacer.Answer{Verdict: pacer.Overdue, Took: now - q.suspicion.dispatchedAt}
+		if !q.pool.usual(q.endpoint).Late(a.Took, q.expected) {
+			continue
+		}
+		q.overdueAt = now + a.Took
+		if q.pool.plain {
+			c.sharePace(now, q.endpoint, a)
+		} else {
+			c.reportProgress(now, q.endpoint, q.reservation, ProgressUpdate{Progress: Awaiting, Answer: &a})
+		}
+	}
+}
+
+// sharePace applies an answer of a plain endpoint and tells it the other daemons.
+func (c *Core) sharePace(now namer.Seconds, e *endpoint, a pacer.Answer) {
+	c.broadcast(Message{Pace: &PaceNotice{Endpoint: e.view.Name, Incarnation: e.view.Incarnation, Answer: &a}})
+	c.observePace(now, e, a)
+}
+
 // recordFailedAnswer judges the failure of an attempt.
 func (c *Core) recordFailedAnswer(now namer.Seconds, q *request, reason classifier.RetryReason) {
 	switch reason {
@@ -216,13 +246,34 @@
 	return a
 }
 
-// observePace applies an answer to the pace of an endpoint.
+// observePace applies an answer to the pace of an endpoint. Failures don't bound it if too few others could take its work.
 func (c *Core) observePace(now namer.Seconds, e *endpoint, a pacer.Answer) {
+	if !e.pace.Bounded() && a.Verdict != pacer.Good && !c.boundable(e) {
+		return
+	}
 	if e.pace.Observe(now, a, c.kind(now, e)) {
+		if e.pace.Bounded() {
+			e.bound(now)
+		}
 		c.reportPace(now, e)
 	}
 }
 
+// boundable reports whether at least half of the endpoints of e's kind stay without a bound if e gets one.
+func (c *Core) boundable(e *endpoint) bool {
+	bounded := 1
+	for _, other := range e.pool(c).endpoints {
+		if other != e && other.kindOf() == e.kindOf() && other.pace.Bounded() {
+			bounded++
+		}
+	}
+	return len(e.pool(c).proved(e)) >= bounded
+}
+
+// bound begins to count the requests without an answer. Earlier ones may never get one, and would keep others from an
+// endpoint that works again.
+func (e *endpoint) bound(now namer.Seconds) { e.boundAt, e.unanswered = now, 0 }
+
 // observeProgress applies what the progress of a request says about its engine.
 func (c *Core) observeProgress(now namer.Seconds, e *endpoint, u *ProgressUpdate) {
 	switch {
@@ -235,10 +286,11 @@
 
 // paceEjected bounds a plain endpoint that has been ejected. It is reported when the endpoint returns.
 func (c *Core) paceEjected(now namer.Seconds, e *endpoint) {
-	if !e.pool(c).plain || e.pace.Bounded() || len(e.pool(c).proved(e)) == 0 {
+	if !e.pool(c).plain || e.pace.Bounded() || !c.boundable(e) {
 		return
 	}
 	e.pace.Begin(c.kind(now, e), true)
+	e.bound(now)
 	c.broadcast(Message{Pace: &PaceNotice{Endpoint: e.view.Name, Incarnation: e.view.Incarnation}})
 }
 
@@ -266,20 +318,21 @@
 
 // paceFull reports whether an engine is known to have no room in its window until it answers.
 func (e *endpoint) paceFull(now namer.Seconds) bool {
-	return e.pace.Bounded() && e.current(now) && e.load.Rate > 0 && !e.pace.Admits(e.awaiting(now)) && e.inProgress(now) > 0
+	return e.pace.Bounded() && e.current(now) && e.load.Rate > 0 && !e.pace.Admits(e.load.Unanswered) && e.inProgress(now) > 0
 }
 
 // withinPace reports whether an engine's window has room for another reservation.
 func (c *Core) withinPace(now namer.Seconds, e *endpoint) bool {
-	return !e.pace.Bounded() || e.pace.Admits(c.ledger(e).unanswered(now))
+	c.ledger(e).presumed = e.pace.Presumed(now)
+	return !e.pace.Bounded() || e.pace.Admits(c.ledger(e).unanswered(now, e.boundAt))
 }
 
-// unanswered counts the requests at the engine without a first event.
-func (l *ledger) unanswered(now namer.Seconds) int {
+// unanswered counts the requests at the engine without a first event that were placed from a time on.
+func (l *ledger) unanswered(now, from namer.Seconds) int {
 	l.expire(now)
 	n := 0
 	for _, r := range l.reservations {
-		if !r.prefilled {
+		if !r.prefilled && r.placedAt >= from {
 			n++
 		}
 	}
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -225,8 +225,11 @@
 }
 
 func (c *Core) loadSummary(now namer.Seconds, e *endpoint) Load {
+	c.ledger(e).presumed = e.pace.Presumed(now)
 	load := c.ledger(e).summary(now, e.view.Name)
-	load.Window = e.pace.Window()
+	if e.pace.Bounded() {
+		load.Window, load.Unanswered = e.pace.Window(), c.ledger(e).unanswered(now, e.boundAt)
+	}
 	return load
 }
 
@@ -312,7 +315,7 @@
 		load := c.loadSummary(now, e)
 		load.NewPrefixes, l.newPrefixes[s] = l.newPrefixes[s], nil
 		c.updateLoad(now, load)
-		if l.idleReported[s] && len(l.reservations) == 0 && len(load.NewPrefixes) == 0 {
+		if !e.pace.Bounded() && l.idleReported[s] && len(l.reservations) == 0 && len(load.NewPrefixes) == 0 {
 			continue // unchanged since the last summary
 		}
 		l.idleReported[s] = len(l.reservations) == 0
