inspector, relayer: Bound what a gateway holds for its callers

memory-mb and descriptors were not used, so callers could make a gateway hold any number of heads, bodies, answers and connections. Package accountant keeps one account of these and the order in which holdings are released; inspector.Budget applies it: connections are bounded, lines of heads are charged before net/http parses them, bodies are admitted before they are read and end at the request's deadline, answers are buffered as far as there is room, and the writing of answers ends some seconds after the deadline. A request that hasn't been sent is refused with memory-exhausted (503, not run). The garbage collector's limit comes from the same setting.

--- /dev/null
+++ b/assembler/gatewaymemory.go
@@ -0,0 +1,78 @@
+package assembler
+
+import (
+	"net/http"
+	"runtime/debug"
+
+	"apricotspool/accountant"
+	"apricotspool/inspector"
+	"apricotspool/loader"
+	"apricotspool/matcher"
+)
+
+// Shares of the memory limit of a process.
+const (
+	// programBytes is what a process holds that the garbage collector doesn't count: the pages of its program.
+	programBytes = 14e6
+	// stateBytes is what a process holds besides what it holds for callers: tables, views of the fleet and logs.
+	stateBytes = 18e6
+	// heldShare is the part of the rest that may be held for callers. What has been given back and hasn't been collected
+	// yet takes the other part, and what the kernel has received.
+	heldShare = 0.5
+	// collectedShare is the part of the memory limit that the garbage collector may use, besides programBytes. The rest is
+	// for the kernel's buffers.
+	collectedShare = 0.85
+	// reservedDescriptors is the number of descriptors that remain for files and listeners.
+	reservedDescriptors = 200
+)
+
+// newBudget returns the limits on what a process holds for callers. A limit that isn't set is 0.
+func newBudget(memoryMB, descriptors float64) *inspector.Budget {
+	b := &inspector.Budget{}
+	if memoryMB > 0 {
+		memory := memoryMB * 1e6
+		b.Bytes = int64(max(memory/8, (memory-programBytes-stateBytes)*heldShare))
+	}
+	if descriptors > 0 {
+		// A request takes two: its caller's connection and one to an endpoint.
+		b.Connections = int(max(descriptors/4, (descriptors-reservedDescriptors)/2))
+	}
+	return b
+}
+
+// limitCollector sets the limit of the garbage collector.
+func limitCollector(memoryMB float64) {
+	if memoryMB > 0 {
+		memory := memoryMB * 1e6
+		debug.SetMemoryLimit(int64(max(memory/2, memory*collectedShare-programBytes)))
+	}
+}
+
+// callersBudget returns the budget of the gateway's callers.
+func (g *Gateway) callersBudget() *inspector.Budget {
+	b := newBudget(g.Settings.MemoryMB, g.Settings.Descriptors)
+	b.HeadBytes = func() int { return headBytes(g.fleet.Table()) }
+	b.OnRefused = func(kind accountant.Kind) {
+		g.metrics.Counter(`apricotspool_memory_refusals_total{kind="` + accountant.Kinds[kind] + `"}`).Inc()
+	}
+	for kind, name := range accountant.Kinds {
+		g.metrics.Gauge(`apricotspool_memory_held_bytes{kind="`+name+`"}`, func() float64 { return float64(b.Usage(accountant.Kind(kind))) })
+	}
+	g.metrics.Gauge("apricotspool_caller_connections", func() float64 { return float64(b.Open()) })
+	return b
+}
+
+func headBytes(table *matcher.Table) int {
+	if table == nil {
+		return 0
+	}
+	return table.Limits.HeaderBytes
+}
+
+// newCallersServer returns the server for callers.
+func (g *Gateway) newCallersServer() *http.Server {
+	return &http.Server{
+		Handler: g.relayer, MaxHeaderBytes: loader.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: inspector.ConnContext,
+		ConnState: inspector.ConnState,
+	}
+}
--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -25,11 +25,12 @@
 		return err
 	}
 	defer l.close()
+	limitCollector(g.Settings.MemoryMB)
 	g.connect(l.datagrams)
 	componentCtx, stopComponents := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopComponents()
 	go g.supervisionTree().Run(componentCtx)
-	callers := &http.Server{Handler: g.relayer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: inspector.ConnContext}
+	callers := g.newCallersServer()
 	health := &http.Server{Handler: http.HandlerFunc(g.serveHealth), ReadHeaderTimeout: headerTimeout}
 	peers := newHTTPServer(g.peerHandler(), loader.Limits{HeaderBytes: loader.DefaultHeaderBytes, HeaderTimeout: namer.Duration(loader.DefaultHeaderTimeout)}, true)
 	failed := make(chan error, 3)
@@ -49,7 +50,7 @@
 
 // callersListener drops the connections of callers that have left before they are accepted.
 func (g *Gateway) callersListener(listener net.Listener) net.Listener {
-	return &inspector.Listener{Listener: listener, OnLeft: func() { g.metrics.CallerLeft("accept") }}
+	return &inspector.Listener{Listener: listener, OnLeft: func() { g.metrics.CallerLeft("accept") }, Budget: g.callersBudget()}
 }
 
 const (
--- a/classifier/outcome.go
+++ b/classifier/outcome.go
@@ -49,6 +49,7 @@
 	StreamGone         Outcome = "stream-gone"
 	StreamUnknown      Outcome = "stream-unknown"
 	BuildGone          Outcome = "build-gone"
+	MemoryExhausted    Outcome = "memory-exhausted"
 	CallerDisconnected Outcome = "caller-gone"
 	Internal           Outcome = "internal"
 )
@@ -88,6 +89,7 @@
 	StreamGone:         {http.StatusGone, Unknown, false, "No endpoint knows the stream any more."},
 	StreamUnknown:      {http.StatusServiceUnavailable, NotRun, true, "The software version that began the stream isn't known here, so it can't be resumed; start it anew."},
 	BuildGone:          {http.StatusServiceUnavailable, NotRun, true, "No endpoint of the software version that began the stream is left; start it anew."},
+	MemoryExhausted:    {http.StatusServiceUnavailable, NotRun, true, "The daemon has no memory left for the request; ask again, another one may have."},
 	CallerDisconnected: {499, Unknown, false, "The caller closed the connection."},
 	Internal:           {http.StatusInternalServerError, Unknown, false, "The daemon failed."},
 }
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -4,11 +4,15 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"apricotspool/accountant"
 )
 
 // State is what the kernel knows of a connection. The zero value knows nothing.
@@ -24,6 +28,15 @@
 type Connection struct {
 	raw      syscall.RawConn
 	accepted time.Time
+
+	// The fields below are unset if the connection belongs to no budget.
+	budget        *Budget
+	conn          *callerConn
+	address       netip.Addr
+	holding       accountant.Holding // guarded by Budget.mu
+	cancel        context.CancelFunc // of the request that waits to be sent; guarded by Budget.mu
+	head          headCount          // used on the goroutine that reads the connection
+	writeDeadline bool               // a deadline of writes is set; used on the goroutine that serves the connection
 }
 
 // States of TCP in which the peer can receive a response.
@@ -45,7 +58,7 @@
 	if err != nil {
 		return nil
 	}
-	return &Connection{raw, time.Now()}
+	return &Connection{raw: raw, accepted: time.Now()}
 }
 
 // Age returns the time since the connection was accepted.
@@ -80,7 +93,19 @@
 
 // ConnContext is an http.Server.ConnContext that makes the connection known to handlers.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, contextKey{}, New(conn))
+	return context.WithValue(ctx, contextKey{}, connectionOf(conn))
+}
+
+// connectionOf returns the inspected form of a connection that Listener has accepted, with or without TLS.
+func connectionOf(conn net.Conn) *Connection {
+	inner := conn
+	if secured, ok := conn.(*tls.Conn); ok {
+		inner = secured.NetConn()
+	}
+	if c, ok := inner.(*callerConn); ok {
+		return c.connection
+	}
+	return New(conn)
 }
 
 // Of returns the connection of a handler's request, or nil if it is unknown.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotspool/accountant"
 	"apricotspool/classifier"
 	"apricotspool/decider"
 	"apricotspool/forwarder"
@@ -18,10 +19,6 @@
 	"apricotspool/namer"
 )
 
-// maxBufferedBytes is the size up to which a response is buffered before any of it is sent to the
-// caller, so that an attempt that breaks off can be retried.
-const maxBufferedBytes = 256 << 10
-
 // nonRetryableMaxIdle bounds the idle time of connections that carry requests which must not be retried:
 // an endpoint that closes an idle connection would lose the request.
 const nonRetryableMaxIdle = 2 * time.Second
@@ -35,6 +32,10 @@
 		x.ticket.Failed(action.Attempt, action.Endpoint, classifier.RetryEndpointLeaving, true, x.stream.events)
 		return false
 	}
+	if !x.connection.Keep() {
+		x.refuse(classifier.MemoryExhausted, 0) // the decision core is told by closeTicket
+		return true
+	}
 	prefill := action.Kind == decider.ActionPrefill
 	ctx, wd := x.relayer.startWatchdog(ctx, watched{
 		target: target, kind: callKind{service: x.service, prefill: prefill}, callID: x.call.ID, attempt: action.Attempt, ticket: x.ticket, predicted: action.Basis.Expected,
@@ -193,6 +194,7 @@
 	if x.headerSent {
 		return x.handleBrokenResponse(ctx, action, errors.Errorf("status %d", response.Status))
 	}
+	x.connection.Force(accountant.Answer, int64(cap(body)))
 	x.fallback = &bufferedResponse{response.Status, response.Header, body}
 	if response.Status < 500 {
 		x.reportFinished(action, 0)
@@ -223,14 +225,14 @@
 	x.w.Write(x.fallback.body)
 }
 
-// passResponse sends a response to the caller. The first maxBufferedBytes are buffered; the rest of a
+// passResponse sends a response to the caller. Up to maxBufferedBytes are buffered; the rest of a
 // longer response is streamed.
 func (x *exchange) passResponse(ctx context.Context, wd *watchdog, action decider.Action, response *forwarder.Response) bool {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	body, more, err := x.readAnswer(response)
 	if err != nil {
 		return x.handleBrokenResponse(ctx, action, err)
 	}
-	if len(body) == maxBufferedBytes {
+	if more {
 		if err := wd.commit(); err != nil {
 			return x.handleBrokenResponse(ctx, action, err)
 		}
@@ -239,7 +241,7 @@
 	x.ticket.Started(action.Attempt, action.Endpoint)
 	x.writeHeader(response.Status, response.Header)
 	_, err = x.w.Write(body)
-	if err == nil && len(body) == maxBufferedBytes {
+	if err == nil && more {
 		_, err = io.Copy(x.w, response.Body)
 	}
 	x.reportFinished(action, 0)
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -8,9 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
-
 	"apricotspool/asserter"
 	"apricotspool/classifier"
 	"apricotspool/decider"
@@ -19,6 +16,7 @@
 	"apricotspool/inspector"
 	"apricotspool/matcher"
 	"apricotspool/namer"
+	"github.com/cespare/xxhash/v2"
 )
 
 // exchange is one request and its response, owned by the request's goroutine.
@@ -64,9 +62,6 @@
 // defaultRetryAfter is used if the decision core gives no retry delay.
 const defaultRetryAfter = 200 * time.Millisecond
 
-// defaultMaxBodyBytes bounds a request's body if the routes set no limit.
-const defaultMaxBodyBytes = 8 << 20
-
 // prepare matches the route and reads the body. It refuses the request and returns false if the request
 // can't be served.
 func (x *exchange) prepare() bool {
@@ -101,6 +96,8 @@
 		limit = x.call.Timeout
 	}
 	x.deadline = x.startTime.Add(limit)
+	x.boundWrites()
+	x.connection.SetRank(route.Priority)
 	if !x.readBody(table.Limits.BodyBytes) {
 		return false
 	}
@@ -108,31 +105,6 @@
 	return true
 }
 
-func (x *exchange) readBody(limit int64) bool {
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if x.r.ContentLength > limit {
-		x.refuse(classifier.TooLarge, 0)
-		return false
-	}
-	if x.r.ContentLength == 0 {
-		return true
-	}
-	var err error
-	x.body, err = io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return true
-	case errors.As(err, &tooLarge):
-		x.refuse(classifier.TooLarge, 0)
-	default:
-		x.abortResponse(classifier.CallerDisconnected) // the request is incomplete, so no response is possible
-	}
-	return false
-}
-
 // serve submits the request to the decision core and carries out its decisions.
 func (x *exchange) serve() {
 	if !x.endsInTime() {
@@ -143,6 +115,10 @@
 	defer cancel()
 	x.relayer.initEnding()
 	defer context.AfterFunc(x.relayer.ending, cancel)()
+	if !x.connection.Wait(x.route.Priority, cancel) {
+		x.refuse(classifier.MemoryExhausted, 0)
+		return
+	}
 	if ctx.Err() != nil {
 		x.endWithoutAttempt(x.outcomeForContext(ctx), 0)
 		return
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -84,7 +84,7 @@
 	x := &exchange{
 		relayer: r, w: w, r: request, startTime: time.Now(), call: r.Dialect.Decode(request.Header), connection: inspector.Of(request.Context()),
 	}
-	if x.inspectArrival() && x.prepare() {
+	if x.inspectArrival() && x.admit() && x.prepare() {
 		x.serve()
 	}
 	if x.abort {
@@ -117,6 +117,8 @@
 	switch {
 	case ctx.Err() == context.DeadlineExceeded:
 		return classifier.DeadlineExceeded
+	case x.connection.Released():
+		return classifier.MemoryExhausted
 	case x.r.Context().Err() == nil && x.relayer.ending.Err() != nil:
 		return classifier.Draining
 	}
