inspector: Count the bytes that the kernel has received and nobody has read

They count toward memory-mb. They are measured four times a second once the receive buffers of all connections could exceed a sixteenth of the limit; above the limit, connections without progress are released. A process test sends the largest request (16 kB head, 4 MiB body) to a gateway of 144 MB: served, with known length and in chunks.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -166,48 +166,59 @@
 // Release chooses holdings that give up their space so that another one, which has waited since a time, can take bytes.
 // It chooses those that have made no progress since then and those of less urgent ranks, in the order of release, and none
 // if they don't suffice.
-func (a *Account) Release(for_ *Holding, bytes int64, since time.Time) []*Holding {
-	need := bytes - a.room(for_)
-	var candidates []*Holding
+func (a *Account) Release(asking *Holding, bytes int64, since time.Time) []*Holding {
+	chosen, missing := a.choose(bytes-a.room(asking), since, func(h *Holding) bool { return h != asking && mayRelease(h, asking, since) })
+	if missing > 0 {
+		return nil
+	}
+	return release(chosen)
+}
+
+// Free chooses holdings that have made no progress since a time and give up their space, until bytes are free.
+func (a *Account) Free(bytes int64, since time.Time) []*Holding {
+	chosen, _ := a.choose(bytes, since, func(h *Holding) bool { return stalled(h, since) })
+	return release(chosen)
+}
+
+func release(holdings []*Holding) []*Holding {
+	for _, h := range holdings {
+		h.released = true
+	}
+	return holdings
+}
+
+// choose returns the first holdings in the order of release which together hold the bytes, and how many bytes are missing.
+func (a *Account) choose(bytes int64, since time.Time, eligible func(*Holding) bool) (chosen []*Holding, missing int64) {
 	for _, h := range a.holdings {
 		switch {
 		case h.released:
-			need -= h.total // on its way
-		case h != for_ && mayRelease(h, for_, since):
-			candidates = append(candidates, h)
+			bytes -= h.total // on its way
+		case eligible(h):
+			chosen = append(chosen, h)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *Holding) int { return compareRelease(a, b, since) })
-	for i, h := range candidates {
-		if need <= 0 {
-			candidates = candidates[:i]
-			break
+	slices.SortFunc(chosen, func(a, b *Holding) int { return compareRelease(a, b, since) })
+	for i, h := range chosen {
+		if bytes <= 0 {
+			return chosen[:i], 0
 		}
-		need -= h.total
-	}
-	if need > 0 {
-		return nil
-	}
-	for _, h := range candidates {
-		h.released = true
+		bytes -= h.total
 	}
-	return candidates
+	return chosen, bytes
 }
 
-func mayRelease(h, for_ *Holding, since time.Time) bool {
-	switch h.stage {
-	case Sent:
-		return false
-	case Waiting:
-		return h.rank > for_.rank
-	}
-	return h.progress.Before(since) || (h.stage == Reading && h.rank > for_.rank)
+// stalled reports whether more bytes were due and none have come since a time.
+func stalled(h *Holding, since time.Time) bool { return h.stage < Waiting && h.progress.Before(since) }
+
+// mayRelease reports whether a holding may be released for another one.
+func mayRelease(h, asking *Holding, since time.Time) bool {
+	return stalled(h, since) || (h.rank > asking.rank && (h.stage == Reading || h.stage == Waiting))
 }
 
 // compareRelease orders holdings by release: those without progress since a time first, the less urgent ranks first among
 // the others, and then by stage and by progress.
 func compareRelease(a, b *Holding, since time.Time) int {
-	stalledA, stalledB := a.stage < Waiting && a.progress.Before(since), b.stage < Waiting && b.progress.Before(since)
+	stalledA, stalledB := stalled(a, since), stalled(b, since)
 	if stalledA != stalledB {
 		if stalledA {
 			return -1
--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -16,6 +16,7 @@
 	"apricotspool/dispatcher"
 	"apricotspool/follower"
 	"apricotspool/forwarder"
+	"apricotspool/inspector"
 	"apricotspool/leaser"
 	"apricotspool/loader"
 	"apricotspool/matcher"
@@ -67,6 +68,7 @@
 	registrar  *registrar.Registrar
 	dispatcher *dispatcher.Dispatcher
 	relayer    *relayer.Relayer
+	memory     *inspector.Budget // of what is held for callers
 	fleet      *gatewayFleet
 	keptParts  *keptParts
 	announcer  *announcer.Announcer
@@ -138,6 +140,7 @@
 		Endpoints: g.endpoints, Metrics: g.metrics, Log: g.Log.Requests, Confirmation: g.fleet.Confirmation,
 	}
 	g.connectRoles(core)
+	g.memory = g.callersBudget()
 }
 
 // peerClient returns the client for calls to other daemons, without TLS.
--- a/assembler/gateway_flood_cases_test.go
+++ b/assembler/gateway_flood_cases_test.go
@@ -1,13 +1,17 @@
 package assembler_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // Guards against heads of legal size that take many times their size: each of their lines becomes an entry of a map.
@@ -109,3 +113,35 @@
 	f := newFloodedGateway(t, 400)
 	f.flood(800, func(_ int, conn net.Conn) { hold(conn) })
 }
+
+// Guards against limits that keep a single request within the configuration's limits from being served by a small host.
+func TestLargestRequestIsServed(t *testing.T) {
+	is := is.New(t)
+	f := newGatewayProcess(t, 144, 3075, 4<<20)
+	lines, body := []string{}, bytes.Repeat([]byte("b"), 4<<20)
+	for n := range 2700 {
+		lines = append(lines, fmt.Sprintf("%x:", n))
+	}
+	for _, chunked := range []bool{false, true} {
+		for range 3 {
+			head := requestHead(0) + strings.Join(lines, "\r\n") + "\r\nConnection: close\r\n"
+			conn, err := net.Dial("tcp", f.gateway.settings.Callers.String())
+			is.NoErr(err)
+			if chunked {
+				_, err = fmt.Fprintf(conn, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+			} else {
+				_, err = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+			}
+			is.NoErr(err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			answer, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.True(len(answer) > 2*len(body)) // the endpoint returns the body in hexadecimal digits
+			conn.Close()
+		}
+	}
+	f.checkLives()
+	is.True(f.peakMemory() <= 144)
+}
--- a/assembler/gateway_flood_test.go
+++ b/assembler/gateway_flood_test.go
@@ -63,13 +63,18 @@
 }
 
 func newFloodedGateway(t *testing.T, descriptors int) *floodedGateway {
+	return newGatewayProcess(t, floodMemoryMB, descriptors, floodBodyBytes)
+}
+
+// newGatewayProcess starts a gateway with limits of its own.
+func newGatewayProcess(t *testing.T, memoryMB float64, descriptors, bodyBytes int) *floodedGateway {
 	is := is.New(t)
 	s := newSite(t)
-	s.Limits = map[string]any{"maxHeaderBytes": floodHeaderBytes, "maxBodyBytes": floodBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+	s.Limits = map[string]any{"maxHeaderBytes": floodHeaderBytes, "maxBodyBytes": bodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
 	s.configure(route{"/orders/", "unsafe", "app", floodTime}, route{"/items/", "safe", "app", floodTime})
 	f := &floodedGateway{site: s, endpoint: s.startServer("app-1", "app", ""), exited: make(chan struct{})}
 	settings := s.newSettings("g-1")
-	settings.MemoryMB, settings.Descriptors = floodMemoryMB, float64(descriptors)
+	settings.MemoryMB, settings.Descriptors = memoryMB, float64(descriptors)
 	f.gateway = &gateway{settings: settings}
 	text, err := json.Marshal(settings)
 	is.NoErr(err)
--- a/assembler/gatewayrun.go
+++ b/assembler/gatewayrun.go
@@ -50,7 +50,7 @@
 
 // callersListener drops the connections of callers that have left before they are accepted.
 func (g *Gateway) callersListener(listener net.Listener) net.Listener {
-	return &inspector.Listener{Listener: listener, OnLeft: func() { g.metrics.CallerLeft("accept") }, Budget: g.callersBudget()}
+	return &inspector.Listener{Listener: listener, OnLeft: func() { g.metrics.CallerLeft("accept") }, Budget: g.memory}
 }
 
 const (
@@ -116,6 +116,7 @@
 		{Name: "datagrams", Part: g.datagrams},
 		{Name: "role-lease", Part: g.roleLease},
 		{Name: "assigner", Part: g.assigner},
+		{Name: "memory", Part: g.memory},
 	}}
 }
 
--- a/inspector/budget.go
+++ b/inspector/budget.go
@@ -42,6 +42,7 @@
 	account   accountant.Account
 	owners    map[*accountant.Holding]*Connection
 	addresses map[netip.Addr]int
+	measured  time.Time     // when Measure was last called
 	changed   chan struct{} // closed when something is given back; nil if nobody waits
 }
 
