--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -17,6 +17,7 @@
 	"apricotspool/dispatcher"
 	"apricotspool/follower"
 	"apricotspool/forwarder"
+	"apricotspool/inspector"
 	"apricotspool/leaser"
 	"apricotspool/loader"
 	"apricotspool/matcher"
@@ -75,6 +76,7 @@
 	registrar  *registrar.Registrar
 	dispatcher *dispatcher.Dispatcher
 	relayer    *relayer.Relayer
+	memory     *inspector.Budget // of what is held for callers
 	fleet      *gatewayFleet
 	keptParts  *keptParts
 	announcer  *announcer.Announcer
@@ -151,6 +153,7 @@
 	g.connectRoles(core)
 	g.connectDuties(peers)
 	g.connectCapacity(core, g.duties.lease)
+	g.memory = g.callersBudget()
 }
 
 // peerClient returns the client for calls to other daemons, without TLS.
