meterer, leaser: Keep the clock of one host from deciding which windows are settled

Cause: a holder whose clock stays ahead settled windows of the future without their counts, and one whose clock stays behind settled none.

--- a/leaser/authority.go
+++ b/leaser/authority.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,8 @@
 	gap     time.Duration // between the acquisition and the release
 	since   Reading       // when the acquisition was known
 
+	unfit atomic.Bool // the holder wants another process to have the lease
+
 	mu      sync.Mutex // guards the fields below; never held during I/O
 	renewed Reading    // clocks just before the last successful renewal was sent
 	closed  bool       // no use may start
--- a/leaser/duties.go
+++ b/leaser/duties.go
@@ -76,3 +76,10 @@
 		a.grant.record(reached)
 	}
 }
+
+// GiveUp makes the holder release the lease to another candidate because it can't do its work.
+func (a DutyAuthority) GiveUp() {
+	if a.grant != nil {
+		a.grant.unfit.Store(true)
+	}
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -218,7 +218,7 @@
 	if g == nil || !g.releasable() {
 		return false
 	}
-	return (l.ReleaseIneligible && !l.eligible()) || (g.unreachedFor() >= l.HandoverGap && g.renewedWithin(2*l.RenewInterval))
+	return g.unfit.Load() || (l.ReleaseIneligible && !l.eligible()) || (g.unreachedFor() >= l.HandoverGap && g.renewedWithin(2*l.RenewInterval))
 }
 
 // acquirable reports whether no process can hold a lease of an earlier era any more.
--- a/meterer/ledger.go
+++ b/meterer/ledger.go
@@ -121,7 +121,7 @@
 func (l *ledger) settle(s settlement, t *tally) (settled []total) {
 	size := l.size()
 	first := max(l.Last+1, s.oldest, min(t.since(windowAt(s.began, s.length)), windowAt(s.began, s.length)))
-	for w := first; s.settleable(w); w++ {
+	for w := first; s.settleable(w) && t.most(func(current Window) bool { return current > w }); w++ {
 		sum, known := t.sum(w)
 		if w > s.doubtful && (known || !w.end(s.length).Before(s.began)) {
 			e := entry{Window: w, Counts: sum.counts}
--- a/meterer/meterer.go
+++ b/meterer/meterer.go
@@ -126,9 +126,13 @@
 func (m *Meterer) receive(from namer.Host, message Message) {
 	now := m.now()
 	first, last := m.oldest(now), windowAt(now.Add(maxAhead), m.Length)
+	source := Source{Host: from, Incarnation: message.Incarnation}
 	for _, w := range message.Windows {
+		if h, known := m.tally.heard[source]; !known || w.Window >= h.window || h.window-w.Window > sentWindows {
+			m.tally.hear(source, w.Window, m.Steady())
+		}
 		if w.Window >= first && w.Window <= last {
-			m.tally.receive(Source{Host: from, Incarnation: message.Incarnation}, w.Window, w.Counts)
+			m.tally.receive(source, w.Window, w.Counts)
 		}
 	}
 }
--- a/meterer/meterer_test.go
+++ b/meterer/meterer_test.go
@@ -1,8 +1,10 @@
 package meterer_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"apricotspool/imitator"
 	"apricotspool/meterer"
 	"apricotspool/namer"
+	"apricotspool/storer"
 )
 
 // Guards against windows that are lost, counted twice or reported late while nothing fails.
@@ -76,6 +79,50 @@
 	}
 }
 
+// Guards against a holder that sends counts whose settling write failed, or that settles a window again with later counts when
+// the answer of the write was lost: the next holder would send others.
+func TestSettlingWriteFails(t *testing.T) {
+	for name, fault := range map[string]imitator.Fault{
+		"refused":   {Err: storer.ErrUnavailable},
+		"uncertain": {Err: storer.ErrUncertain},
+		"lost":      {Lost: storer.ErrUncertain},
+	} {
+		for _, killed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, killed %t", name, killed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := &fleet{t: t, store: &imitator.Store{}, platform: newPlatform(t)}
+					var failing atomic.Bool
+					f.store.Fault = func(_ context.Context, kind, key string) imitator.Fault {
+						if failing.Load() && kind == "put" && key == meterer.SettledKey {
+							return fault
+						}
+						return imitator.Fault{}
+					}
+					for range 3 {
+						f.start()
+					}
+					f.load(20 * time.Second)
+					f.setDelivery(dropSome())
+					failing.Store(true)
+					f.load(12 * time.Second)
+					if killed {
+						f.holder().kill()
+					}
+					f.load(5 * time.Second)
+					failing.Store(false)
+					f.load(10 * time.Second)
+					f.settle()
+					f.platform.check()
+					_, missing := f.platform.windows()
+					is.Equal(missing, 0)
+					is.True(time.Since(f.platform.reports[len(f.platform.reports)-1].at) <= length) // reports go on
+				})
+			})
+		}
+	}
+}
+
 // killOnce returns a function that kills a daemon when its next report has arrived.
 func killOnce(d *daemon) func(namer.Host) {
 	return func(holder namer.Host) {
@@ -228,6 +275,32 @@
 	}
 }
 
+// Guards against a holder whose clock is wrong for good: it must not settle windows that haven't ended for the others, nor
+// keep the lease without settling any.
+func TestClockOfHolderIsWrong(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -time.Minute, -8 * time.Second, 8 * time.Second, time.Minute, time.Hour} {
+		t.Run(step.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, 3)
+				f.load(20 * time.Second)
+				wrong := f.holder()
+				wrong.step.Store(int64(step))
+				f.load(2 * time.Minute)
+				f.settle()
+				f.platform.check()
+				_, missing := f.platform.windows()
+				is.Equal(missing, 0)
+				for _, r := range f.platform.reports {
+					is.True(r.at.After(time.Unix(0, (int64(r.window)+1)*int64(length)))) // a window that hasn't ended
+				}
+				last := f.platform.reports[len(f.platform.reports)-1]
+				is.True(time.Since(last.at) <= length) // reports go on
+			})
+		})
+	}
+}
+
 // Guards against reports for windows about which nobody knows anything, after all daemons were killed and started again, and
 // against windows that are never reported again.
 func TestAllDaemonsRestart(t *testing.T) {
--- a/meterer/settler.go
+++ b/meterer/settler.go
@@ -88,11 +88,25 @@
 	if !m.loaded && !m.read(ctx) {
 		return
 	}
+	if !m.clockAgrees() {
+		m.Log.Error().Time("now", m.timeOfDay()).Msg("time-of-day-differs")
+		authority.GiveUp()
+		return
+	}
 	if m.settle(ctx) {
 		m.report(ctx, authority)
 	}
 }
 
+// clockAgrees reports whether this daemon's time of day is near that of most daemons. A holder whose clock is wrong would
+// settle windows before their counts arrive, or none.
+func (m *Meterer) clockAgrees() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := windowAt(m.now(), m.Length)
+	return len(m.tally.heard) == 0 || m.tally.most(func(current Window) bool { return max(own-current, current-own) < sentWindows })
+}
+
 // observeEra notices that the store was restored from a copy. Only a process that held the lease until then knows everything
 // that was settled; others may miss windows that the store has lost.
 func (m *Meterer) observeEra() {
--- a/meterer/tally.go
+++ b/meterer/tally.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"apricotspool/namer"
+	"apricotspool/timekeeper"
 )
 
 // Window is the number of a window: window k begins k window lengths after the start of 1970.
@@ -51,8 +52,18 @@
 type tally struct {
 	open   map[Window]map[Source]Counts
 	closed map[Window]total
+	heard  map[Source]hearing
 }
 
+// hearing is the current window of a source, and when it sent it.
+type hearing struct {
+	window Window
+	at     timekeeper.Instant
+}
+
+// maxSilence is how long a source is taken to be alive without a message.
+const maxSilence = 5 * sendInterval
+
 // total is the sum of a window over its sources.
 type total struct {
 	counts  Counts
@@ -60,7 +71,7 @@
 }
 
 func newTally() *tally {
-	return &tally{open: map[Window]map[Source]Counts{}, closed: map[Window]total{}}
+	return &tally{open: map[Window]map[Source]Counts{}, closed: map[Window]total{}, heard: map[Source]hearing{}}
 }
 
 // receive takes the cumulative counts of a window from a source.
@@ -110,3 +121,21 @@
 	}
 	return limit
 }
+
+// hear records the current window of a source, and forgets sources that are silent.
+func (t *tally) hear(from Source, current Window, now timekeeper.Instant) {
+	t.heard[from] = hearing{window: current, at: now}
+	maps.DeleteFunc(t.heard, func(_ Source, h hearing) bool { return now.Sub(h.at) > maxSilence })
+}
+
+// most reports whether a condition holds for the current windows of more than half of the sources. It guards against the
+// clock of a single host.
+func (t *tally) most(condition func(current Window) bool) bool {
+	n := 0
+	for _, h := range t.heard {
+		if condition(h.window) {
+			n++
+		}
+	}
+	return 2*n > len(t.heard)
+}
