--- a/provisioner/group.go
+++ b/provisioner/group.go
@@ -17,6 +17,10 @@
 	orderedAt time.Time // zero if no order is in effect
 	confirmed bool      // the platform has accepted it
 	lowered   bool      // it was for fewer engines
+	// standing is the number up to which the platform may still bring engines: that of the last order which it has accepted
+	// or may have carried out. known says that there has been one.
+	standing int
+	known    bool
 	// bootingSince is since when ordered engines have been missing without any appearing; zero if none are missing.
 	bootingSince  time.Time
 	presentBefore int // at the last observation
@@ -41,9 +45,6 @@
 	return g.ordered
 }
 
-// atMost returns the number of engines that there can be: an order that got no answer may have been carried out.
-func (g *group) atMost() int { return max(g.assumed(), g.present, g.uncertain()) }
-
 // atLeast returns the number of settled engines that remain if all orders are carried out.
 func (g *group) atLeast() int {
 	if g.orderedAt.IsZero() {
@@ -52,13 +53,6 @@
 	return max(0, min(g.settled, g.ordered-(g.present-g.settled)))
 }
 
-func (g *group) uncertain() int {
-	if g.orderedAt.IsZero() {
-		return 0
-	}
-	return g.ordered
-}
-
 func (g *group) booting() int { return max(0, g.assumed()-g.present) }
 
 // releasing reports whether engines that have been released are still there.
@@ -117,8 +111,12 @@
 	g.ordered, g.orderedAt, g.confirmed, g.lowered = o.Desired, now, r == Accepted, o.Desired < o.Before
 	switch r {
 	case Accepted:
+		g.standing, g.known = o.Desired, true
 		g.retryPause, g.retryAt = 0, time.Time{}
 	default:
+		if r == Failed {
+			g.standing = max(g.standing, o.Desired)
+		}
 		g.retryPause = min(max(minRetryPause, 2*g.retryPause), s.Boot)
 		g.retryAt = now.Add(g.retryPause)
 	}
--- a/provisioner/planner.go
+++ b/provisioner/planner.go
@@ -63,6 +63,7 @@
 	sightings  map[namer.Endpoint]*sighting
 	start      need      // what the engines at the first load could do
 	releasedAt time.Time // last release
+	heldAt     time.Time // first observation of this holder; zero before
 	fixed      int       // serving engines in data centres without a price
 	lost       time.Time // last loss of engines
 	blind      bool      // the load of too many engines is unknown
@@ -80,6 +81,9 @@
 	if p.groups == nil {
 		p.groups, p.sightings = map[Group]*group{}, map[namer.Endpoint]*sighting{}
 	}
+	if p.heldAt.IsZero() {
+		p.heldAt = now
+	}
 	p.demand.period = boots(&s, periodBoots)
 	for _, g := range p.groups {
 		g.present, g.serving, g.settled, g.leaving = 0, 0, 0, 0
@@ -285,24 +289,45 @@
 	})
 }
 
-// increases returns the orders of more engines, which are sent at once.
+// increases returns the orders of more engines, which are sent at once. If ordered engines of the other kind that haven't
+// appeared leave no room, these are withdrawn first, since the platform may still bring them.
 func (p *Planner) increases(now time.Time, s *matcher.Scaling, offers []offer, n need) []Order {
 	var orders []Order
-	for _, name := range p.names() {
+	added := map[Group]int{}
+	add := func(name Group, desired int) {
 		g := p.groups[name]
-		other := p.groups[Group{name.DataCentre, 1 - name.Kind}]
-		if other == nil {
+		added[name] = desired
+		if !now.Before(g.retryAt) {
+			orders = append(orders, Order{Group: name, Desired: desired, Before: g.assumed(), Reason: p.reason(now, s, offers, n), Basis: p.basis(n)})
+		}
+	}
+	for _, name := range p.names() {
+		g, otherName := p.groups[name], Group{name.DataCentre, 1 - name.Kind}
+		other := p.groups[otherName]
+		if other == nil || g.wanted <= g.assumed() || now.Before(g.blockedTill) {
 			continue
 		}
-		desired := min(g.wanted, s.Max-other.atMost())
-		if desired <= g.assumed() || now.Before(g.retryAt) || now.Before(g.blockedTill) {
+		room := s.Max - max(p.atMost(now, s, other), added[otherName])
+		if needed := max(other.present, min(other.wanted, other.assumed())); g.wanted > room && other.booting() == 0 && p.atMost(now, s, other) > needed {
+			add(otherName, needed)
 			continue
 		}
-		orders = append(orders, Order{Group: name, Desired: desired, Before: g.assumed(), Reason: p.reason(now, s, offers, n), Basis: p.basis(n)})
+		if desired := min(g.wanted, room); desired > g.assumed() {
+			add(name, desired)
+		}
 	}
 	return orders
 }
 
+// atMost returns the number of engines of a group that there can be. What the last holder has ordered is unknown until it has
+// appeared or has been replaced by another order.
+func (p *Planner) atMost(now time.Time, s *matcher.Scaling, g *group) int {
+	if !g.known && now.Sub(p.heldAt) < appearTime(s) {
+		return s.Max
+	}
+	return max(g.assumed(), g.present, g.standing)
+}
+
 func (p *Planner) basis(n need) Basis { return Basis{p.demand.peak(), n.all, n.afterLoss} }
 
 // reason says why more engines are wanted.
@@ -423,5 +448,5 @@
 	for _, g := range p.groups {
 		*g = group{present: g.present, serving: g.serving, settled: g.settled, leaving: g.leaving, blockedTill: g.blockedTill}
 	}
-	p.releasedAt = time.Time{}
+	p.releasedAt, p.heldAt = time.Time{}, time.Time{}
 }
