provisioner: Bounds the search for the cheapest set whatever the configuration says

Change: the search ends when the cost no longer falls, which is exact since it is convex; maximum and prices are bounded; preemptible engines that cost as much as others aren't ordered.

--- a/provisioner/cheapest.go
+++ b/provisioner/cheapest.go
@@ -47,19 +47,19 @@
 }
 
 // cheapestAfterLoss returns the cheapest set of which a number of engines is left after any loss, or nil. The cost is a
-// convex function of the number of engines, so that the search ends when it rises.
+// convex function of the number of engines, so that the search ends when it no longer falls.
 func cheapestAfterLoss(offers []offer, n need, all, afterLoss int) [][kinds]int {
 	var best [][kinds]int
 	lowest, most := 0.0, 0
 	for i := range offers {
-		most += max(0, offers[i].max)
+		most += max(0, min(offers[i].max, count(offers[i].limits)))
 	}
 	for all := max(all, len(offers)*n.min); all <= most; all++ {
 		found, cost, ok := cheapestOf(offers, n, all, all-afterLoss)
 		switch {
 		case ok && (best == nil || cost < lowest-epsilon):
 			best, lowest = found, cost
-		case best != nil && (!ok || cost > lowest+epsilon):
+		case best != nil:
 			return best
 		}
 	}
--- a/provisioner/fault_test.go
+++ b/provisioner/fault_test.go
@@ -277,3 +277,19 @@
 	f.run(20 * time.Second)
 	is.True(f.count(provisioner.OnDemand) > 0)
 }
+
+// Guards against a plan that takes seconds, or orders without bound, because a configuration has a huge maximum or odd prices.
+func TestOddScaling(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, map[namer.DataCentre]float64{"a": -1, "b": 0, "c": 1e300})
+	f.scaling.Max, f.scaling.Min, f.scaling.PreemptiblePrice, f.scaling.Boot = math.MaxInt, math.MinInt, 1e300, -time.Second
+	f.answer = func(time.Duration, provisioner.Order) (provisioner.Result, bool) {
+		return provisioner.Unavailable, false
+	}
+	f.work = wave(8)
+	f.run(30 * time.Second)
+	for _, o := range f.orders {
+		is.True(o.Desired >= 0)
+		is.True(o.Desired <= 200)
+	}
+}
--- a/provisioner/planner.go
+++ b/provisioner/planner.go
@@ -45,6 +45,10 @@
 	// minKnownShare is the part of the engines whose load has to be known. A holder that is cut off from the daemons which
 	// report loads must not take the silence for an idle fleet.
 	minKnownShare = 0.75
+	// maxEngines bounds the engines of a data centre, whatever the configuration says. The design target is 1,600 in all.
+	maxEngines = 2000
+	// maxPrice bounds the relative prices, so that sums of them can be compared.
+	maxPrice = 1e6
 	// minBoot bounds the boot time, from which the other times are derived.
 	minBoot = 100 * time.Millisecond
 )
@@ -181,7 +185,7 @@
 
 // Plan returns the orders to send now. The caller reports the result of each with Record before the next call.
 func (p *Planner) Plan(now time.Time, s matcher.Scaling) []Order {
-	s.Boot = max(s.Boot, minBoot)
+	s.Boot, s.Max = max(s.Boot, minBoot), min(s.Max, maxEngines)
 	if len(s.Prices) == 0 || s.Max <= 0 || p.groups == nil {
 		return nil
 	}
@@ -232,7 +236,8 @@
 		if p.cutOff(d) {
 			continue
 		}
-		o := offer{dataCentre: d, price: s.Prices[d], preemptible: s.Prices[d] * s.PreemptiblePrice, max: s.Max}
+		price := min(max(0, s.Prices[d]), maxPrice)
+		o := offer{dataCentre: d, price: price, preemptible: price * s.PreemptiblePrice, max: s.Max}
 		for kind := range kinds {
 			g := p.groups[Group{d, kind}]
 			o.max -= g.present - g.serving
@@ -241,7 +246,7 @@
 				o.limits[kind] = max(g.serving, g.assumed()-(g.present-g.serving))
 			}
 		}
-		if s.PreemptiblePrice <= 0 { // not offered
+		if s.PreemptiblePrice <= 0 || s.PreemptiblePrice >= 1 { // not offered, or no gain for its risk
 			o.limits[Preemptible] = 0
 		}
 		offers = append(offers, o)
