--- a/provisioner/fault_test.go
+++ b/provisioner/fault_test.go
@@ -61,7 +61,7 @@
 			f.run(2 * time.Minute)
 			is.Equal(f.count(provisioner.OnDemand), 0)
 			is.True(f.lowest > 1.2)
-			is.True(!f.overMax)
+			is.True(f.overMax == 0)
 		})
 	}
 }
@@ -85,7 +85,7 @@
 			f.run(time.Minute)
 			is.Equal(f.count(provisioner.OnDemand), 0)
 			is.True(f.lowest > 2)
-			is.True(!f.overMax)
+			is.True(f.overMax == 0)
 		})
 	}
 }
@@ -106,7 +106,7 @@
 			}
 			f.run(2 * time.Minute)
 			is.Equal(f.count(provisioner.OnDemand), 0)
-			is.True(!f.overMax)
+			is.True(f.overMax == 0)
 			is.True(f.lowest > 2)
 			engines := f.count(provisioner.Preemptible)
 			change(f)
@@ -131,7 +131,7 @@
 		is.True(o.at < begin || o.DataCentre != "a")
 	}
 	is.True(f.count(provisioner.Preemptible)+f.count(provisioner.OnDemand)-there > elsewhere)
-	is.True(!f.overMax)
+	is.True(f.overMax == 0)
 	delete(f.cutOff, "a")
 	f.run(3 * time.Minute)
 	is.Equal(f.count(provisioner.OnDemand), 0)
@@ -176,7 +176,7 @@
 		f.run(2 * time.Minute)
 		f.work = func(time.Duration) float64 { return 0 }
 		f.run(time.Hour)
-		is.True(!f.overMax)
+		is.True(f.overMax == 0)
 		is.True(!f.underMin)
 	}
 }
@@ -196,20 +196,32 @@
 	is.Equal(f.count(provisioner.Preemptible)+f.count(provisioner.OnDemand), 3)
 }
 
-// Guards against a release while an earlier one hasn't shown its effect, and against one that leaves too few engines for
-// the loss of a data centre.
+// Guards against a release while an earlier one hasn't shown its effect.
 func TestReleasesWaitForTheirEffect(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(28, threeDataCentres())
+	f.run(lead)
+	f.work = func(time.Duration) float64 { return 2 }
+	f.run(2 * time.Minute)
+	var times []time.Duration
+	for _, o := range f.orders {
+		if o.Desired < o.Before && (len(times) == 0 || o.at > times[len(times)-1]) {
+			times = append(times, o.at)
+		}
+	}
+	is.True(len(times) >= 3)
+	for i := range times[1:] {
+		is.True(times[i+1]-times[i] >= boot)
+	}
+}
+
+// Guards against a release that rests on replacements which have just begun to serve, and against one that leaves too few
+// engines for the loss of a data centre.
+func TestReplacementsServeBeforeARelease(t *testing.T) {
 	is := is.New(t)
 	f := loaded(15, wave(8))
-	last := time.Duration(0)
 	for range 400 {
 		f.run(planPeriod)
-		for _, o := range f.orders {
-			if o.Desired < o.Before && o.at > last {
-				is.True(o.at-last >= boot)
-				last = o.at
-			}
-		}
 		worst, all := 0, 0
 		for d := range f.scaling.Prices {
 			preemptible := len(f.members(provisioner.Group{DataCentre: d, Kind: provisioner.Preemptible}))
@@ -217,4 +229,67 @@
 		}
 		is.True(all-worst >= 33) // twice the peak of the moving average
 	}
+	for _, o := range f.orders {
+		is.True(o.Desired > o.Before || o.at >= lead+boot+boot/2)
+	}
+}
+
+// Guards against a release as soon as a lower number is wanted: bursts that come a little later than peaks are forgotten
+// would take and give engines each time.
+func TestLowerNumberMustHold(t *testing.T) {
+	is := is.New(t)
+	f := loaded(15, func(at time.Duration) float64 {
+		if at%(66*time.Second) < 3*time.Second { // peaks count for 64 s
+			return 14
+		}
+		return 4
+	})
+	f.run(90 * time.Second)
+	before := f.at()
+	f.run(10 * time.Minute)
+	is.Equal(f.ordersSince(before), 0)
+}
+
+// Guards against engines that are missing because a holder relies on an order that another holder has replaced meanwhile.
+func TestOrdersOfAnotherHolderMeanwhile(t *testing.T) {
+	is := is.New(t)
+	f := loaded(15, wave(8))
+	f.run(time.Second)
+	group := provisioner.Group{DataCentre: "a", Kind: provisioner.Preemptible}
+	is.Equal(len(f.members(group)), 15)
+	f.carryOut(provisioner.Order{Group: group, Desired: 2})
+	f.planner.Reset()
+	f.run(time.Second)
+	is.Equal(len(f.members(group)), 15)
+}
+
+// Guards against waiting for preemptible engines for a rising load that the platform has accepted an order for and doesn't
+// deliver.
+func TestEnginesThatDontAppear(t *testing.T) {
+	is := is.New(t)
+	f := settled(wave(8))
+	f.answer = func(_ time.Duration, o provisioner.Order) (provisioner.Result, bool) {
+		return provisioner.Accepted, o.Kind != provisioner.Preemptible || o.Desired < o.Before
+	}
+	f.work = wave(12)
+	f.run(10 * time.Second)
+	is.Equal(f.count(provisioner.OnDemand), 0)
+	f.run(20 * time.Second)
+	is.True(f.count(provisioner.OnDemand) > 0)
+}
+
+// Guards against a plan that takes seconds, or orders without bound, because a configuration has a huge maximum or odd prices.
+func TestOddScaling(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, map[namer.DataCentre]float64{"a": -1, "b": 0, "c": 1e300})
+	f.scaling.Max, f.scaling.Min, f.scaling.PreemptiblePrice, f.scaling.Boot = math.MaxInt, math.MinInt, 1e300, -time.Second
+	f.answer = func(time.Duration, provisioner.Order) (provisioner.Result, bool) {
+		return provisioner.Unavailable, false
+	}
+	f.work = wave(8)
+	f.run(30 * time.Second)
+	for _, o := range f.orders {
+		is.True(o.Desired >= 0)
+		is.True(o.Desired <= 200)
+	}
 }
--- a/provisioner/planner.go
+++ b/provisioner/planner.go
@@ -36,11 +36,19 @@
 	holdBoots, effectBoots = 1, 1
 	// reclaimBoots is how long preemptible engines count as not to be had after the platform has taken some back.
 	reclaimBoots = 3
+	// Engines that were refused count as not to be had for refusedBoots at first, and those that were accepted and haven't
+	// appeared for undeliveredBoots, in boot times: asking again for these costs the time for them to appear. The platform
+	// says that a shortage lasts 2 to 3 boot times.
+	refusedBoots, undeliveredBoots, maxBlockBoots = 0.5, 2, 2
 	// minRetryPause is the pause after a first failed order.
 	minRetryPause = 500 * time.Millisecond
 	// minKnownShare is the part of the engines whose load has to be known. A holder that is cut off from the daemons which
 	// report loads must not take the silence for an idle fleet.
 	minKnownShare = 0.75
+	// maxEngines bounds the engines of a data centre, whatever the configuration says. The design target is 1,600 in all.
+	maxEngines = 2000
+	// maxPrice bounds the relative prices, so that sums of them can be compared.
+	maxPrice = 1e6
 	// minBoot bounds the boot time, from which the other times are derived.
 	minBoot = 100 * time.Millisecond
 )
@@ -59,6 +67,7 @@
 	sightings  map[namer.Endpoint]*sighting
 	start      need      // what the engines at the first load could do
 	releasedAt time.Time // last release
+	heldAt     time.Time // first observation of this holder; zero before
 	fixed      int       // serving engines in data centres without a price
 	lost       time.Time // last loss of engines
 	blind      bool      // the load of too many engines is unknown
@@ -76,6 +85,9 @@
 	if p.groups == nil {
 		p.groups, p.sightings = map[Group]*group{}, map[namer.Endpoint]*sighting{}
 	}
+	if p.heldAt.IsZero() {
+		p.heldAt = now
+	}
 	p.demand.period = boots(&s, periodBoots)
 	for _, g := range p.groups {
 		g.present, g.serving, g.settled, g.leaving = 0, 0, 0, 0
@@ -173,7 +185,7 @@
 
 // Plan returns the orders to send now. The caller reports the result of each with Record before the next call.
 func (p *Planner) Plan(now time.Time, s matcher.Scaling) []Order {
-	s.Boot = max(s.Boot, minBoot)
+	s.Boot, s.Max = max(s.Boot, minBoot), min(s.Max, maxEngines)
 	if len(s.Prices) == 0 || s.Max <= 0 || p.groups == nil {
 		return nil
 	}
@@ -224,7 +236,8 @@
 		if p.cutOff(d) {
 			continue
 		}
-		o := offer{dataCentre: d, price: s.Prices[d], preemptible: s.Prices[d] * s.PreemptiblePrice, max: s.Max}
+		price := min(max(0, s.Prices[d]), maxPrice)
+		o := offer{dataCentre: d, price: price, preemptible: price * s.PreemptiblePrice, max: s.Max}
 		for kind := range kinds {
 			g := p.groups[Group{d, kind}]
 			o.max -= g.present - g.serving
@@ -233,7 +246,7 @@
 				o.limits[kind] = max(g.serving, g.assumed()-(g.present-g.serving))
 			}
 		}
-		if s.PreemptiblePrice <= 0 { // not offered
+		if s.PreemptiblePrice <= 0 || s.PreemptiblePrice >= 1 { // not offered, or no gain for its risk
 			o.limits[Preemptible] = 0
 		}
 		offers = append(offers, o)
@@ -281,24 +294,45 @@
 	})
 }
 
-// increases returns the orders of more engines, which are sent at once.
+// increases returns the orders of more engines, which are sent at once. If ordered engines of the other kind that haven't
+// appeared leave no room, these are withdrawn first, since the platform may still bring them.
 func (p *Planner) increases(now time.Time, s *matcher.Scaling, offers []offer, n need) []Order {
 	var orders []Order
-	for _, name := range p.names() {
+	added := map[Group]int{}
+	add := func(name Group, desired int) {
 		g := p.groups[name]
-		other := p.groups[Group{name.DataCentre, 1 - name.Kind}]
-		if other == nil {
+		added[name] = desired
+		if !now.Before(g.retryAt) {
+			orders = append(orders, Order{Group: name, Desired: desired, Before: g.assumed(), Reason: p.reason(now, s, offers, n), Basis: p.basis(n)})
+		}
+	}
+	for _, name := range p.names() {
+		g, otherName := p.groups[name], Group{name.DataCentre, 1 - name.Kind}
+		other := p.groups[otherName]
+		if other == nil || g.wanted <= g.assumed() || now.Before(g.blockedTill) {
 			continue
 		}
-		desired := min(g.wanted, s.Max-other.atMost())
-		if desired <= g.assumed() || now.Before(g.retryAt) || now.Before(g.blockedTill) {
+		room := s.Max - max(p.atMost(now, s, other), added[otherName])
+		if needed := max(other.present, min(other.wanted, other.assumed())); g.wanted > room && other.booting() == 0 && p.atMost(now, s, other) > needed {
+			add(otherName, needed)
 			continue
 		}
-		orders = append(orders, Order{Group: name, Desired: desired, Before: g.assumed(), Reason: p.reason(now, s, offers, n), Basis: p.basis(n)})
+		if desired := min(g.wanted, room); desired > g.assumed() {
+			add(name, desired)
+		}
 	}
 	return orders
 }
 
+// atMost returns the number of engines of a group that there can be. What the last holder has ordered is unknown until it has
+// appeared or has been replaced by another order.
+func (p *Planner) atMost(now time.Time, s *matcher.Scaling, g *group) int {
+	if !g.known && now.Sub(p.heldAt) < appearTime(s) {
+		return s.Max
+	}
+	return max(g.assumed(), g.present, g.standing)
+}
+
 func (p *Planner) basis(n need) Basis { return Basis{p.demand.peak(), n.all, n.afterLoss} }
 
 // reason says why more engines are wanted.
@@ -419,5 +453,5 @@
 	for _, g := range p.groups {
 		*g = group{present: g.present, serving: g.serving, settled: g.settled, leaving: g.leaving, blockedTill: g.blockedTill}
 	}
-	p.releasedAt = time.Time{}
+	p.releasedAt, p.heldAt = time.Time{}, time.Time{}
 }
