placer: Keep the pace of an engine when its owner is lost

Cause: an engine whose owner dies kept the rate of the last summary, so that nobody asked the next owner. The window's fields cost ten bytes for each engine in every summary. Change: without current summaries a bounded engine is presumed to be as fast as its kind; the owner of a ledger adopts no window from others; the window is sent only while there is one. TestLoneFailuresDoNotBound fails if answers don't end a row of failures, TestLoneEjectionEndsSoon if the window is shared among all daemons. go test ./placer ./pacer passes.

--- a/placer/check.go
+++ b/placer/check.go
@@ -138,13 +138,16 @@
 }
 
 func (l *Load) check() error {
-	for name, value := range map[string]float64{"rate": l.Rate, "inflow": l.Inflow, "window": l.Window} {
+	for name, value := range map[string]float64{"rate": l.Rate, "inflow": l.Inflow} {
 		if !isAmount(value) {
 			return errors.Errorf("%s is %v, must be finite and not negative", name, value)
 		}
 	}
-	if l.Running < 0 || l.Streams < 0 || l.Generating < 0 || l.Unanswered < 0 {
-		return errors.Errorf("running %d, streams %d, generating %d, unanswered %d must not be negative", l.Running, l.Streams, l.Generating, l.Unanswered)
+	if l.Running < 0 || l.Streams < 0 || l.Generating < 0 {
+		return errors.Errorf("running %d, streams %d, generating %d must not be negative", l.Running, l.Streams, l.Generating)
+	}
+	if l.Pace != nil && (!(l.Pace.Window >= 1) || math.IsInf(l.Pace.Window, 0) || l.Pace.Unanswered < 0) {
+		return errors.Errorf("window %v must be finite and at least 1, unanswered %d not negative", l.Pace.Window, l.Pace.Unanswered)
 	}
 	if err := checkTime("prefix TTL", l.PrefixTTL); err != nil {
 		return err
--- a/placer/check_test.go
+++ b/placer/check_test.go
@@ -35,7 +35,7 @@
 				Endpoint: endpoint.Draw(t, "endpoint"), Rate: number.Draw(t, "rate"), Running: rapid.Int().Draw(t, "running"),
 				Streams: rapid.Int().Draw(t, "streams"), Urgent: rapid.Int().Draw(t, "urgent"), PrefixTTL: seconds.Draw(t, "ttl"),
 				InProgress: seconds.Draw(t, "in progress"), Generating: rapid.Int().Draw(t, "generating"), Inflow: number.Draw(t, "inflow"),
-				Window: number.Draw(t, "window"), Unanswered: rapid.Int().Draw(t, "unanswered"),
+				Pace: rapid.SampledFrom([]*placer.LoadPace{nil, {}, {Window: 2, Unanswered: 1}, {Window: math.NaN()}, {Window: 1e300}, {Window: 2, Unanswered: -1}}).Draw(t, "pace"),
 			}
 		})
 		answer := rapid.Custom(func(t *rapid.T) *pacer.Answer {
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -135,9 +135,9 @@
 }
 
 // prefillTime estimates how long an engine takes to process prompt tokens.
-func (e *endpoint) prefillTime(p *pool, tokens float64) namer.Seconds {
+func (e *endpoint) prefillTime(now namer.Seconds, p *pool, tokens float64) namer.Seconds {
 	rate := e.load.Rate
-	if rate <= 0 {
+	if rate <= 0 || e.paceUnknown(now) {
 		rate = p.prefillRate(e.view.Role)
 	}
 	return namer.Seconds(tokens / rate)
--- a/placer/message.go
+++ b/placer/message.go
@@ -156,10 +156,14 @@
 	// tokens are placed, per second.
 	Generating int
 	Inflow     float64
-	// Window is the number of requests that the engine takes without an answer, 0 without a bound, and Unanswered the
-	// number of those that count. See package pacer.
-	Window     float64
-	Unanswered int
+	Pace       *LoadPace // nil for an engine without a bound
+}
+
+// LoadPace is the bound of an engine that has started or recovered.
+type LoadPace struct {
+	_          struct{} `cbor:",toarray"`
+	Window     float64  // requests that it takes without an answer
+	Unanswered int      // requests that it has
 }
 
 // shortDelay is a delay in units of 100 microseconds, which takes few bytes in a message.
--- a/placer/pace.go
+++ b/placer/pace.go
@@ -310,15 +310,24 @@
 }
 
 // adoptPace takes over the window that the owner of an engine's ledger has found.
-func (c *Core) adoptPace(now namer.Seconds, e *endpoint, window float64) {
-	if window > 0 || e.pace.Bounded() {
-		e.pace.Adopt(window, c.kind(now, e))
+func (c *Core) adoptPace(now namer.Seconds, e *endpoint, found *LoadPace) {
+	switch {
+	case found == nil && !e.pace.Bounded():
+	case c.ledgerOwner(now, e).Host == c.Self: // another daemon knows less, or of the instance before
+	case found != nil:
+		e.pace.Adopt(found.Window, c.kind(now, e))
+	default:
+		e.pace.Adopt(0, pacer.Kind{})
 	}
 }
 
+// paceUnknown reports whether the owner of a bounded engine's ledger tells nothing any more. Another daemon takes over when
+// requests are sent there.
+func (e *endpoint) paceUnknown(now namer.Seconds) bool { return e.pace.Bounded() && !e.current(now) }
+
 // paceFull reports whether an engine is known to have no room in its window until it answers.
 func (e *endpoint) paceFull(now namer.Seconds) bool {
-	return e.pace.Bounded() && e.current(now) && e.load.Rate > 0 && !e.pace.Admits(e.load.Unanswered) && e.inProgress(now) > 0
+	return e.pace.Bounded() && e.current(now) && e.load.Pace != nil && !e.pace.Admits(e.load.Pace.Unanswered) && e.inProgress(now) > 0
 }
 
 // withinPace reports whether an engine's window has room for another reservation.
--- a/placer/pace_test.go
+++ b/placer/pace_test.go
@@ -11,6 +11,7 @@
 	"apricotspool/decider"
 	"apricotspool/modeler"
 	"apricotspool/namer"
+	"apricotspool/placer"
 )
 
 // Two kinds of endpoints. Engines take 60 ms for the part of a prompt that isn't cached, plain endpoints run six calls of
@@ -293,3 +294,73 @@
 	f.run(5 * time.Second)
 	is.Equal(f.paced(), 0)
 }
+
+// Guards against a bound that is lost with the daemon that found it: the next owner starts from the summaries.
+func TestNextOwnerKeepsPace(t *testing.T) {
+	is := is.New(t)
+	r := newReturningEngines(t, 12, 12, 1, 150)
+	var owner namer.Host
+	r.inspect = func(to namer.Host, m placer.Message) {
+		if m.ReserveRequest != nil && m.ReserveRequest.Endpoint == r.names[0] {
+			owner = to
+		}
+	}
+	r.run(returnAt)
+	r.crash(r.names[0], time.Second)
+	r.engines[r.names[0]].Class = slower(r.class, 10)
+	r.run(returnAt + 2*time.Second)
+	for _, h := range r.hosts {
+		h.down = h.down || h.name == owner
+	}
+	r.run(returnAt + 9*time.Second)
+	missed, sent := r.flooded(returnAt+2*time.Second, returnAt+8*time.Second)
+	t.Logf("%d of %d requests missed after %s was lost", missed, sent, owner)
+	is.True(owner != "")
+	is.True(missed <= 4)
+	is.True(sent > 0)
+}
+
+// Guards against one daemon that can't reach an engine and holds it back for all: the others get answers.
+func TestLoneFailuresDoNotBound(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6, 0, 6)
+	f.generateLoad(longPrompt, 100, 6*time.Second)
+	f.run(2 * time.Second)
+	f.onDispatch = func(a decider.Action, _ uint64, _ bool) {
+		r := f.requests[a.Request]
+		if r.host == f.hosts[0] && a.Endpoint == f.names[0] {
+			f.after(networkDelay/2, func() { f.fail(r, a.Attempt, classifier.RetryConnectFailed, true) })
+		}
+	}
+	f.run(8 * time.Second)
+	is.Equal(f.paced(), 0)
+	is.True(len(f.reports) > 0) // the daemon itself has ejected it
+}
+
+// Guards against a plain endpoint that one daemon has ejected alone, and uses again only when its turn among all comes.
+func TestLoneEjectionEndsSoon(t *testing.T) {
+	is := is.New(t)
+	r := newReturningPlain(t, 89, 3, 1, 400)
+	r.run(returnAt)
+	fail := true
+	r.onDispatch = func(a decider.Action, _ uint64, _ bool) {
+		q := r.requests[a.Request]
+		if fail && q.host == r.hosts[0] && a.Endpoint == r.names[0] {
+			r.after(networkDelay/2, func() { r.fail(q, a.Attempt, classifier.RetryConnectFailed, true) })
+		}
+	}
+	r.run(returnAt + 2*time.Second)
+	fail = false
+	for i := range 400 {
+		r.after(time.Duration(i)*10*time.Millisecond, func() { r.arrive(r.hosts[0], plainOrder) })
+	}
+	r.run(returnAt + 6*time.Second)
+	counts := map[namer.Endpoint]int{}
+	for _, q := range r.all {
+		if q.host == r.hosts[0] && q.arrived > returnAt+4*time.Second {
+			counts[q.endpoint]++
+		}
+	}
+	t.Logf("requests of the daemon by endpoint: %v", counts)
+	is.True(counts[r.names[0]] >= 40)
+}
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -228,7 +228,7 @@
 	c.ledger(e).presumed = e.pace.Presumed(now)
 	load := c.ledger(e).summary(now, e.view.Name)
 	if e.pace.Bounded() {
-		load.Window, load.Unanswered = e.pace.Window(), c.ledger(e).unanswered(now, e.boundAt)
+		load.Pace = &LoadPace{Window: e.pace.Window(), Unanswered: c.ledger(e).unanswered(now, e.boundAt)}
 	}
 	return load
 }
@@ -240,7 +240,7 @@
 		return
 	}
 	e.load, e.loadUpdatedAt = load, now
-	c.adoptPace(now, e, load.Window)
+	c.adoptPace(now, e, load.Pace)
 	for _, prefix := range load.NewPrefixes {
 		e.recordPrefix(now, prefix, true)
 	}
--- a/placer/pick.go
+++ b/placer/pick.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		rank := affinity.rank(e)
-		first := q.prefixDelay(now, e, &affinity) + e.prefillTime(q.pool, ownTokens)
+		first := q.prefixDelay(now, e, &affinity) + e.prefillTime(now, q.pool, ownTokens)
 		if e.express && first > longest {
 			continue
 		}
@@ -151,7 +151,7 @@
 	if _, offered := affinity.fetchSource(now, e, prefix); offered {
 		return q.pool.transferTime(q.prefixTokens())
 	}
-	delay := e.prefillTime(q.pool, q.prefixTokens())
+	delay := e.prefillTime(now, q.pool, q.prefixTokens())
 	if affinity.rank(e) == affinityRanks && affinity.held(now, prefix) {
 		delay *= 2 // processing a prefix on one more engine takes capacity from other requests
 	}
@@ -212,7 +212,7 @@
 	}
 	found := choice{endpoint: first, prefillBudget: q.deadline - now}
 	if first != nil {
-		found.expectedDelay = first.queueDelay(now, q.class()) + first.prefillTime(q.pool, float64(q.PromptTokens))
+		found.expectedDelay = first.queueDelay(now, q.class()) + first.prefillTime(now, q.pool, float64(q.PromptTokens))
 	}
 	return found
 }
