pacer: Grow quickly after an endpoint was slow with one request

Cause: late answers of a cold endpoint at its smallest window set the threshold to one, so that it grew slowly afterwards. Change: a late or overdue answer at a window of one leaves the growth as at the start.

--- a/pacer/pace.go
+++ b/pacer/pace.go
@@ -176,6 +176,11 @@
 	if p.fallen && now-a.Took < p.fellAt {
 		return // it was sent before the last fall
 	}
+	p.fellAt, p.fallen = now, true
+	if p.window == 1 && (a.Verdict == Late || a.Verdict == Overdue) {
+		p.threshold = p.full // it is slow with one request, which says nothing about how many it takes when it isn't
+		return
+	}
 	p.window = max(1, fallFactor*p.window)
-	p.threshold, p.fellAt, p.fallen = p.window, now, true
+	p.threshold = p.window
 }
