placer: Compare new endpoints once for each kind

Cause: with 1,600 endpoints, the first fleet compared each new endpoint with each other. Change: the new endpoints of a kind are compared together.

--- a/placer/pace.go
+++ b/placer/pace.go
@@ -93,21 +93,28 @@
 	for e := range created {
 		e.byAll = true
 	}
-	for e, earlier := range created {
-		p, equallyNew := e.pool(c), 0
-		for other := range created {
-			if other.pool(c) == p && other.kindOf() == e.kindOf() {
-				equallyNew++
-			}
-		}
-		if !p.usual(e).Known() || len(p.proved(e)) < equallyNew {
+	type group struct {
+		pool *pool
+		kind namer.Role
+	}
+	groups := map[group][]*endpoint{}
+	for e := range created {
+		g := group{e.pool(c), e.kindOf()}
+		groups[g] = append(groups[g], e)
+	}
+	for g, members := range groups {
+		if !g.pool.usual(members[0]).Known() || len(g.pool.proved(members[0])) < len(members) {
 			continue
 		}
-		if earlier != nil {
-			e.pace = earlier.pace
+		k := c.kind(now, members[0])
+		for _, e := range members {
+			if earlier := created[e]; earlier != nil {
+				e.pace = earlier.pace
+			}
+			k.Slots = e.view.Concurrency
+			e.pace.Begin(k, e.view.WarmupLeft > 0)
+			c.begun = append(c.begun, e)
 		}
-		e.pace.Begin(c.kind(now, e), e.view.WarmupLeft > 0)
-		c.begun = append(c.begun, e)
 	}
 	for e := range created {
 		e.byAll = e.pace.Bounded()
