--- a/placer/pace.go
+++ b/placer/pace.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// recordAwaiting records that a request has been sent to its endpoint. holdsPrefix says that the endpoint had its prefix.
+// recordAwaiting records that a request has been sent to its endpoint, which has so many prompt tokens to process.
 func (c *Core) recordAwaiting(now namer.Seconds, q *request, tokens float64) {
 	e := q.endpoint
 	e.unanswered++
