--- a/placer/pace.go
+++ b/placer/pace.go
@@ -93,21 +93,28 @@
 	for e := range created {
 		e.byAll = true
 	}
-	for e, earlier := range created {
-		p, equallyNew := e.pool(c), 0
-		for other := range created {
-			if other.pool(c) == p && other.kindOf() == e.kindOf() {
-				equallyNew++
-			}
-		}
-		if !p.usual(e).Known() || len(p.proved(e)) < equallyNew {
+	type group struct {
+		pool *pool
+		kind namer.Role
+	}
+	groups := map[group][]*endpoint{}
+	for e := range created {
+		g := group{e.pool(c), e.kindOf()}
+		groups[g] = append(groups[g], e)
+	}
+	for g, members := range groups {
+		if !g.pool.usual(members[0]).Known() || len(g.pool.proved(members[0])) < len(members) {
 			continue
 		}
-		if earlier != nil {
-			e.pace = earlier.pace
+		k := c.kind(now, members[0])
+		for _, e := range members {
+			if earlier := created[e]; earlier != nil {
+				e.pace = earlier.pace
+			}
+			k.Slots = e.view.Concurrency
+			e.pace.Begin(k, e.view.WarmupLeft > 0)
+			c.begun = append(c.begun, e)
 		}
-		e.pace.Begin(c.kind(now, e), e.view.WarmupLeft > 0)
-		c.begun = append(c.begun, e)
 	}
 	for e := range created {
 		e.byAll = e.pace.Bounded()
@@ -138,7 +145,7 @@
 	}
 }
 
-// recordAwaiting records that a request has been sent to its endpoint. holdsPrefix says that the endpoint had its prefix.
+// recordAwaiting records that a request has been sent to its endpoint, which has so many prompt tokens to process.
 func (c *Core) recordAwaiting(now namer.Seconds, q *request, tokens float64) {
 	e := q.endpoint
 	e.unanswered++
@@ -310,15 +317,24 @@
 }
 
 // adoptPace takes over the window that the owner of an engine's ledger has found.
-func (c *Core) adoptPace(now namer.Seconds, e *endpoint, window float64) {
-	if window > 0 || e.pace.Bounded() {
-		e.pace.Adopt(window, c.kind(now, e))
+func (c *Core) adoptPace(now namer.Seconds, e *endpoint, found *LoadPace) {
+	switch {
+	case found == nil && !e.pace.Bounded():
+	case c.ledgerOwner(now, e).Host == c.Self: // another daemon knows less, or of the instance before
+	case found != nil:
+		e.pace.Adopt(found.Window, c.kind(now, e))
+	default:
+		e.pace.Adopt(0, pacer.Kind{})
 	}
 }
 
+// paceUnknown reports whether the owner of a bounded engine's ledger tells nothing any more. Another daemon takes over when
+// requests are sent there.
+func (e *endpoint) paceUnknown(now namer.Seconds) bool { return e.pace.Bounded() && !e.current(now) }
+
 // paceFull reports whether an engine is known to have no room in its window until it answers.
 func (e *endpoint) paceFull(now namer.Seconds) bool {
-	return e.pace.Bounded() && e.current(now) && e.load.Rate > 0 && !e.pace.Admits(e.load.Unanswered) && e.inProgress(now) > 0
+	return e.pace.Bounded() && e.current(now) && e.load.Pace != nil && !e.pace.Admits(e.load.Pace.Unanswered) && e.inProgress(now) > 0
 }
 
 // withinPace reports whether an engine's window has room for another reservation.
