server, inspector: Bound what the product's own mode holds for its callers

apricotspool serve uses the same budget: /limits/memory-mb and /limits/descriptors are new and 0 by default. Reading of bodies moves to inspector, for both modes. Requests that share a connection by HTTP/2 are charged and keep what they hold; they are refused when there is no room. Listeners of this mode keep connections whose caller has left, since calls with an idempotency key go on.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"apricotspool/inspector"
 	"apricotspool/loader"
 	"apricotspool/recorder"
 	"apricotspool/supervisor"
@@ -59,15 +60,20 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	d.init()
 	defer close(d.done)
-	l, err := listen(d.Settings)
+	metrics := recorder.NewMetrics()
+	limitCollector(d.Settings.Limits.MemoryMB)
+	memory := newBudget(d.Settings.Limits.MemoryMB, d.Settings.Limits.Descriptors, metrics)
+	memory.HeadBytes = func() int { return d.Settings.Limits.HeaderBytes }
+	l, err := listen(d.Settings, memory)
 	if err != nil {
 		return err
 	}
-	components, err := d.build(l, recorder.NewMetrics())
+	components, err := d.build(l, metrics)
 	if err != nil {
 		l.close()
 		return err
 	}
+	components.children = append(components.children, supervisor.Child{Name: "memory", Part: memory})
 	return d.serve(ctx, l, components)
 }
 
@@ -79,6 +85,7 @@
 	components := &supervisor.Supervisor{Log: d.Log, Children: c.children}
 	go components.Run(componentCtx)
 	callers := newHTTPServer(c.callers, d.Settings.Limits, false)
+	callers.ConnState = inspector.ConnState
 	operators := newHTTPServer(c.operators, d.Settings.Limits, false)
 	peers := newHTTPServer(c.peers, d.Settings.Limits, true)
 	failed := make(chan error, 3)
--- a/assembler/gatewaymemory.go
+++ b/assembler/gatewaymemory.go
@@ -8,6 +8,7 @@
 	"apricotspool/inspector"
 	"apricotspool/loader"
 	"apricotspool/matcher"
+	"apricotspool/recorder"
 )
 
 // Shares of the memory limit of a process.
@@ -27,8 +28,10 @@
 )
 
 // newBudget returns the limits on what a process holds for callers. A limit that isn't set is 0.
-func newBudget(memoryMB, descriptors float64) *inspector.Budget {
-	b := &inspector.Budget{}
+func newBudget(memoryMB, descriptors float64, metrics *recorder.Metrics) *inspector.Budget {
+	b := &inspector.Budget{OnRefused: func(kind accountant.Kind) {
+		metrics.Counter(`apricotspool_memory_refusals_total{kind="` + accountant.Kinds[kind] + `"}`).Inc()
+	}}
 	if memoryMB > 0 {
 		memory := memoryMB * 1e6
 		b.Bytes = int64(max(memory/8, (memory-programBytes-stateBytes)*heldShare))
@@ -37,6 +40,10 @@
 		// A request takes two: its caller's connection and one to an endpoint.
 		b.Connections = int(max(descriptors/4, (descriptors-reservedDescriptors)/2))
 	}
+	for kind, name := range accountant.Kinds {
+		metrics.Gauge(`apricotspool_memory_held_bytes{kind="`+name+`"}`, func() float64 { return float64(b.Usage(accountant.Kind(kind))) })
+	}
+	metrics.Gauge("apricotspool_caller_connections", func() float64 { return float64(b.Open()) })
 	return b
 }
 
@@ -50,15 +57,8 @@
 
 // callersBudget returns the budget of the gateway's callers.
 func (g *Gateway) callersBudget() *inspector.Budget {
-	b := newBudget(g.Settings.MemoryMB, g.Settings.Descriptors)
+	b := newBudget(g.Settings.MemoryMB, g.Settings.Descriptors, g.metrics)
 	b.HeadBytes = func() int { return headBytes(g.fleet.Table()) }
-	b.OnRefused = func(kind accountant.Kind) {
-		g.metrics.Counter(`apricotspool_memory_refusals_total{kind="` + accountant.Kinds[kind] + `"}`).Inc()
-	}
-	for kind, name := range accountant.Kinds {
-		g.metrics.Gauge(`apricotspool_memory_held_bytes{kind="`+name+`"}`, func() float64 { return float64(b.Usage(accountant.Kind(kind))) })
-	}
-	g.metrics.Gauge("apricotspool_caller_connections", func() float64 { return float64(b.Open()) })
 	return b
 }
 
--- a/assembler/listeners.go
+++ b/assembler/listeners.go
@@ -26,17 +26,17 @@
 	peerCertificates          *loader.Certificates // nil without TLS between daemons
 }
 
-func listen(s *loader.Settings) (*listeners, error) {
+func listen(s *loader.Settings, memory *inspector.Budget) (*listeners, error) {
 	l := &listeners{}
 	var err error
-	if l.peers, l.peerCertificates, err = bind(s.Peers); err != nil {
+	if l.peers, l.peerCertificates, err = bind(s.Peers, nil); err != nil {
 		return nil, errors.Wrap(err, "peers' listener")
 	}
-	if l.operators, _, err = bind(s.Operators); err != nil {
+	if l.operators, _, err = bind(s.Operators, nil); err != nil {
 		l.close()
 		return nil, errors.Wrap(err, "operators' listener")
 	}
-	if l.callers, _, err = bind(s.Callers); err != nil {
+	if l.callers, _, err = bind(s.Callers, memory); err != nil {
 		l.close()
 		return nil, errors.Wrap(err, "callers' listener")
 	}
@@ -51,7 +51,8 @@
 	}
 }
 
-func bind(settings loader.Listener) (net.Listener, *loader.Certificates, error) {
+// bind opens a listener. With a budget, its connections are entered into it.
+func bind(settings loader.Listener, memory *inspector.Budget) (net.Listener, *loader.Certificates, error) {
 	var certificates *loader.Certificates
 	var config *tls.Config
 	if settings.TLS.Enabled() {
@@ -65,6 +66,9 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "bind")
 	}
+	if memory != nil {
+		listener = &inspector.Listener{Listener: listener, Budget: memory, TLS: config != nil}
+	}
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
--- a/inspector/holding.go
+++ b/inspector/holding.go
@@ -56,6 +56,18 @@
 	return taken || c.budget.reserve(c, accountant.Request, requestBytes+max(0, uncounted))
 }
 
+// StartShared enters one of several requests that share a connection, as with HTTP/2. They keep their memory; Reserve doesn't
+// wait for them. EndShared has to be called at their end.
+func (c *Connection) StartShared() bool {
+	return c.advance(accountant.Sent, 0, nil) && c.Reserve(accountant.Request, requestBytes)
+}
+
+// EndShared gives back what one of several requests that share a connection has held.
+func (c *Connection) EndShared(body int64) {
+	c.Return(accountant.Body, body)
+	c.Return(accountant.Request, requestBytes)
+}
+
 // SetRank sets the rank of the request; 0 is the most urgent.
 func (c *Connection) SetRank(rank int) {
 	c.advance(accountant.Reading, rank, nil)
--- a/inspector/listener.go
+++ b/inspector/listener.go
@@ -9,7 +9,7 @@
 // spends next to nothing on callers that have given up, and reaches sooner those that wait.
 type Listener struct {
 	net.Listener
-	// OnLeft is called for each connection that is closed.
+	// OnLeft is called for each connection that is closed. If it is nil, connections whose peer has left are kept.
 	OnLeft func()
 	// Budget bounds the connections; nil means no limits.
 	Budget *Budget
@@ -25,9 +25,9 @@
 			return nil, err
 		}
 		connection := New(conn)
-		if connection.Inspect().Left {
+		if l.OnLeft != nil && connection.Inspect().Left {
 			conn.Close()
-			l.left()
+			l.OnLeft()
 			continue
 		}
 		if l.Budget == nil || connection == nil {
@@ -39,12 +39,6 @@
 	}
 }
 
-func (l *Listener) left() {
-	if l.OnLeft != nil {
-		l.OnLeft()
-	}
-}
-
 // receiveBuffer bounds the bytes that the kernel receives on a connection before they are read. The kernel takes twice as
 // many for them.
 const receiveBuffer = 64 << 10
--- a/loader/check.go
+++ b/loader/check.go
@@ -121,6 +121,8 @@
 	v.timeout("/limits/body-timeout", s.Limits.BodyTimeout)
 	v.require(s.Limits.HeaderBytes >= 0 && s.Limits.HeaderBytes <= MaxHeaderBytes, "/limits/header-bytes", s.Limits.HeaderBytes, "must be between 0 and %d", MaxHeaderBytes)
 	v.require(s.Limits.Requests >= 0 && s.Limits.Requests <= MaxRequests, "/limits/requests", s.Limits.Requests, "must be between 0 and %d", MaxRequests)
+	v.require(s.Limits.MemoryMB >= 0, "/limits/memory-mb", s.Limits.MemoryMB, "must not be negative")
+	v.require(s.Limits.Descriptors >= 0, "/limits/descriptors", s.Limits.Descriptors, "must not be negative")
 }
 
 func (v *validator) timeout(path string, d namer.Duration) {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -99,6 +99,10 @@
 	// Requests is the maximum number of requests in flight in the daemon, including queued ones.
 	// Default 20000.
 	Requests int `json:"requests,omitempty"`
+	// MemoryMB is the memory limit of the process in MB; 0 means no limit.
+	MemoryMB float64 `json:"memory-mb,omitzero"`
+	// Descriptors is the maximum number of sockets that the process may open; 0 means no limit.
+	Descriptors float64 `json:"descriptors,omitzero"`
 }
 
 // Load reads and checks a settings file. Faults in it are returned as decoder.Faults.
--- a/server/completionhandler.go
+++ b/server/completionhandler.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 	"apricotspool/configurer"
 	"apricotspool/decider"
 	"apricotspool/generator"
+	"apricotspool/inspector"
 	"apricotspool/namer"
 )
 
@@ -94,10 +94,15 @@
 	}
 	control := http.NewResponseController(x.w)
 	control.SetReadDeadline(time.Now().Add(cmp.Or(x.server.BodyTimeout, DefaultBodyTimeout)))
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	body, err := x.receiveBody(limit)
+	if err == nil && !x.reserve(parsedCopies*int64(len(body))) {
+		err = inspector.ErrNoMemory
+	}
 	control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, inspector.ErrNoMemory):
+		x.refuse(classifier.MemoryExhausted, "")
 	case errors.As(err, &tooLarge):
 		x.refuse(classifier.TooLarge, "the request body exceeds the limit")
 	case err != nil:
--- a/server/exchange.go
+++ b/server/exchange.go
@@ -40,7 +40,8 @@
 	id              resumer.Identity
 	headerSent      bool               // whether the response header has been sent
 	outcome         classifier.Outcome // set once, by recordOutcome
-	abortConnection bool               // whether to abort the connection, because the response is incomplete
+	memory          memory
+	abortConnection bool // whether to abort the connection, because the response is incomplete
 }
 
 func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
--- a/server/forward.go
+++ b/server/forward.go
@@ -10,11 +10,14 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"apricotspool/classifier"
 	"apricotspool/configurer"
 	"apricotspool/decider"
 	"apricotspool/dispatcher"
 	"apricotspool/forwarder"
+	"apricotspool/inspector"
 	"apricotspool/namer"
 )
 
@@ -138,13 +141,20 @@
 		f.x.refuse(classifier.TooLarge, "the request body exceeds the service's limit")
 		return false
 	}
-	in := http.MaxBytesReader(f.x.w, f.x.r.Body, limit)
 	if !buffer && (f.call.Length < 0 || f.call.Length > maxBufferedBytes) {
 		http.NewResponseController(f.x.w).EnableFullDuplex()
-		f.streamedBody = &trackedBody{in: in}
+		if !f.x.memory.connection.Keep() {
+			f.x.refuse(classifier.MemoryExhausted, "")
+			return false
+		}
+		f.streamedBody = &trackedBody{in: http.MaxBytesReader(f.x.w, f.x.r.Body, limit)}
 		return true
 	}
-	body, err := io.ReadAll(in)
+	body, err := f.x.receiveBody(limit)
+	if errors.Is(err, inspector.ErrNoMemory) {
+		f.x.refuse(classifier.MemoryExhausted, "")
+		return false
+	}
 	if err != nil {
 		f.x.refuse(classifier.BadRequest, "the request body could not be read")
 		return false
--- a/server/server.go
+++ b/server/server.go
@@ -129,8 +129,13 @@
 	x := s.newExchange(w, r)
 	if s.inFlight.Add(1) > int64(s.MaxRequests) && s.MaxRequests > 0 {
 		x.refuse(classifier.QueueFull, "this daemon has too many requests in flight")
-	} else if x.callerWaits() && x.authenticate() {
-		x.route()
+	} else if !x.admit() {
+		x.refuse(classifier.MemoryExhausted, "")
+	} else {
+		defer x.release()
+		if x.callerWaits() && x.authenticate() {
+			x.route()
+		}
 	}
 	asserter.Check(x.outcome != "", "every request has an outcome", "%s %s", r.Method, r.URL.Path)
 	if x.abortConnection {
