inspector, forwarder: Bound connections to endpoints, and let stalled holdings make room

Connections to endpoints outlive their requests, so they have a limit of their own; an idle one is closed for a new one. Their receive buffers are bounded with memory-mb. A new connection has stalled holdings released and may enter on the reserve. Heads are counted under a lock, since net/http reads in the background while a request is served (found by the race detector).

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -110,6 +110,16 @@
 	return true
 }
 
+// TakeReserved is Take from what is kept for requests that have been sent. It is for the connections of callers while others
+// that hold memory are being released.
+func (a *Account) TakeReserved(h *Holding, kind Kind, bytes int64) bool {
+	if a.Limit > 0 && a.total+bytes > a.Limit {
+		return false
+	}
+	a.Force(h, kind, bytes)
+	return true
+}
+
 // room returns the bytes that a holding can take.
 func (a *Account) room(h *Holding) int64 {
 	if a.Limit == 0 {
--- a/assembler/gateway.go
+++ b/assembler/gateway.go
@@ -134,7 +134,7 @@
 	g.datagrams.Receive = peers.receiver(core, g.dispatcher, g.fleet.Confirmation)
 	g.connectArchivist(core)
 	g.keptParts = &keptParts{core, g.fleet}
-	g.endpoints = &forwarder.Client{EchoHeader: g.Platform.EchoHeader}
+	g.endpoints = g.newEndpointsClient()
 	g.relayer = &relayer.Relayer{
 		Table: g.fleet.Table, Target: g.fleet.Target, Dialect: g.Platform.Dialect, Dispatcher: g.dispatcher,
 		Endpoints: g.endpoints, Metrics: g.metrics, Log: g.Log.Requests, Confirmation: g.fleet.Confirmation,
--- a/assembler/gatewaymemory.go
+++ b/assembler/gatewaymemory.go
@@ -5,6 +5,7 @@
 	"runtime/debug"
 
 	"apricotspool/accountant"
+	"apricotspool/forwarder"
 	"apricotspool/inspector"
 	"apricotspool/loader"
 	"apricotspool/matcher"
@@ -25,8 +26,19 @@
 	collectedShare = 0.85
 	// reservedDescriptors is the number of descriptors that remain for files and listeners.
 	reservedDescriptors = 200
+	// Shares of the other descriptors. A request needs a connection to its caller and one to an endpoint; an endpoint's is
+	// kept longer. The rest is for other daemons, the store and health checks.
+	callersShare   = 0.45
+	endpointsShare = 0.5
+	// endpointReceiveBuffer bounds what the kernel receives of an answer that its caller reads slowly.
+	endpointReceiveBuffer = 64 << 10
 )
 
+// sockets returns the number of descriptors for connections.
+func sockets(descriptors float64) float64 {
+	return max(descriptors/2, descriptors-reservedDescriptors)
+}
+
 // newBudget returns the limits on what a process holds for callers. A limit that isn't set is 0.
 func newBudget(memoryMB, descriptors float64, metrics *recorder.Metrics) *inspector.Budget {
 	b := &inspector.Budget{OnRefused: func(kind accountant.Kind) {
@@ -37,8 +49,7 @@
 		b.Bytes = int64(max(memory/8, (memory-programBytes-stateBytes)*heldShare))
 	}
 	if descriptors > 0 {
-		// A request takes two: its caller's connection and one to an endpoint.
-		b.Connections = int(max(descriptors/4, (descriptors-reservedDescriptors)/2))
+		b.Connections = max(1, int(sockets(descriptors)*callersShare))
 	}
 	for kind, name := range accountant.Kinds {
 		metrics.Gauge(`apricotspool_memory_held_bytes{kind="`+name+`"}`, func() float64 { return float64(b.Usage(accountant.Kind(kind))) })
@@ -62,6 +73,18 @@
 	return b
 }
 
+// newEndpointsClient returns the client for calls to endpoints.
+func (g *Gateway) newEndpointsClient() *forwarder.Client {
+	client := &forwarder.Client{EchoHeader: g.Platform.EchoHeader}
+	if g.Settings.MemoryMB > 0 {
+		client.ReceiveBuffer = endpointReceiveBuffer
+	}
+	if g.Settings.Descriptors > 0 {
+		client.MaxOpen = max(1, int(sockets(g.Settings.Descriptors)*endpointsShare))
+	}
+	return client
+}
+
 func headBytes(table *matcher.Table) int {
 	if table == nil {
 		return 0
--- a/forwarder/client.go
+++ b/forwarder/client.go
@@ -44,8 +44,14 @@
 	// IdleTimeout is how long an idle connection is kept, unless the endpoint announces a shorter
 	// timeout; 0 means DefaultIdleTimeout.
 	IdleTimeout time.Duration
+	// MaxOpen is the number of connections to all endpoints together; 0 means no limit. An idle connection is closed for a
+	// new one.
+	MaxOpen int
+	// ReceiveBuffer bounds the bytes that the kernel receives on a connection before they are read; 0 leaves it to the system.
+	ReceiveBuffer int
 
 	mu        sync.Mutex
+	open      int // connections of all pools, including idle ones
 	pools     map[netip.AddrPort]*pool
 	lastSweep time.Time
 }
--- a/forwarder/conn_test.go
+++ b/forwarder/conn_test.go
@@ -281,6 +281,26 @@
 	is.NoErr(err)
 }
 
+// Guards against idle connections to many endpoints that together exceed Client.MaxOpen.
+func TestMaxOpen(t *testing.T) {
+	is := is.New(t)
+	client := &forwarder.Client{MaxOpen: 2}
+	var closed atomic.Int32
+	for i := range 6 {
+		e := listen(t, func(_ int, in *bufio.Reader, out net.Conn) {
+			id, _, _ := request(in)
+			respond(out, id, "x", "")
+			in.ReadByte()
+			closed.Add(1)
+		})
+		_, err := send(t, client, e.target(), call(strconv.Itoa(i)))
+		is.NoErr(err)
+		for int(closed.Load()) < i-1 {
+			time.Sleep(time.Millisecond) // the oldest connections are closed
+		}
+	}
+}
+
 // Guards against an endpoint that keeps working on a call whose context was cancelled.
 func TestCancelClosesTheConnection(t *testing.T) {
 	is := is.New(t)
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -20,8 +20,8 @@
 	keepAliveCount    = 2
 )
 
-// errConnLimit means that the target's MaxConns connections are all in use.
-var errConnLimit = errors.New("connection limit of the endpoint reached")
+// errConnLimit means that the target's MaxConns connections, or Client.MaxOpen to all targets, are in use.
+var errConnLimit = errors.New("connection limit reached")
 
 // pool holds the connections to one address. Client.mu guards its fields.
 type pool struct {
@@ -76,11 +76,35 @@
 		p.idle[0].closeIdle() // frees a slot for the new connection
 		p.idle = p.idle[1:]
 		p.open--
+		c.open--
+	}
+	if c.MaxOpen > 0 && c.open >= c.MaxOpen && !c.closeOldest() {
+		return nil, errConnLimit
 	}
 	p.open++
+	c.open++
 	return nil, nil
 }
 
+// closeOldest closes the connection of all pools that has been idle longest, and reports whether there was one. The caller
+// holds c.mu.
+func (c *Client) closeOldest() bool {
+	var from *pool
+	for _, p := range c.pools {
+		if len(p.idle) > 0 && (from == nil || p.idle[0].idleSince.Before(from.idle[0].idleSince)) {
+			from = p
+		}
+	}
+	if from == nil {
+		return false
+	}
+	from.idle[0].closeIdle()
+	from.idle = from.idle[1:]
+	from.open--
+	c.open--
+	return true
+}
+
 // sweep closes expired idle connections, at most once per sweepPeriod. The caller holds c.mu.
 func (c *Client) sweep(now time.Time) {
 	if now.Sub(c.lastSweep) < sweepPeriod {
@@ -96,6 +120,7 @@
 			}
 			idle.closeIdle()
 			p.open--
+			c.open--
 		}
 		clear(p.idle[len(kept):])
 		p.idle = kept
@@ -126,7 +151,11 @@
 	dialer := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	return dialer.DialContext(ctx, "tcp", address.String())
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if socket, ok := conn.(*net.TCPConn); ok && c.ReceiveBuffer > 0 {
+		socket.SetReadBuffer(c.ReceiveBuffer) // fails only if the connection is closed
+	}
+	return conn, err
 }
 
 // connClosed removes a closed connection from the count of open ones.
@@ -135,6 +164,7 @@
 	defer c.mu.Unlock()
 	if p := c.pools[address]; p != nil {
 		p.open--
+		c.open--
 	}
 }
 
--- a/inspector/budget.go
+++ b/inspector/budget.go
@@ -66,8 +66,8 @@
 	return b.account.Len()
 }
 
-// admit enters an accepted connection into the account. If there is no room, connections without a request make room; admit
-// reports false if there are none.
+// admit enters an accepted connection into the account. If there is no room, holdings without progress are released, and
+// connections without a request make room. admit reports false if there are none.
 func (b *Budget) admit(c *Connection, address netip.Addr) bool {
 	c.budget, c.address = b, address
 	for {
@@ -96,10 +96,16 @@
 	if b.Connections > 0 && b.account.Len() >= b.Connections {
 		return false
 	}
-	b.account.Open(&c.holding, time.Now())
+	now := time.Now()
+	b.account.Open(&c.holding, now)
 	if !b.account.Take(&c.holding, accountant.Connection, connectionBytes) {
-		b.account.Close(&c.holding)
-		return false
+		for _, h := range b.account.Free(connectionBytes+requestBytes, now.Add(-pause)) {
+			b.owners[h].giveUp()
+		}
+		if !b.account.TakeReserved(&c.holding, accountant.Connection, connectionBytes) {
+			b.account.Close(&c.holding)
+			return false
+		}
 	}
 	b.owners[&c.holding] = c
 	b.addresses[c.address]++
--- a/inspector/conn.go
+++ b/inspector/conn.go
@@ -23,7 +23,7 @@
 	plain      bool // bytes are not encrypted, so that a refusal can be written
 }
 
-// headCount is what has been read of a head. It belongs to the goroutine that reads the connection.
+// headCount is what has been read of a head.
 type headCount struct {
 	reading bool // a head is expected, or a part of it has come
 	bytes   int
@@ -36,26 +36,25 @@
 // Read reads from the connection. The lines of a head are entered into the budget before net/http sees them.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.connection.head.reading {
-		if !c.countHead(p[:n]) {
-			return 0, errHeadRefused
-		}
+	if n > 0 && !c.countHead(p[:n]) {
+		return 0, errHeadRefused
 	}
 	return n, err
 }
 
 // countHead counts bytes of a head and reports whether there is room for them. Otherwise the request has been refused.
 func (c *callerConn) countHead(p []byte) bool {
-	head := &c.connection.head
-	first := head.bytes == 0
-	bytes, lines := head.count(p)
-	if head.bytes > c.connection.budget.headBytes() {
+	bytes, lines, total := c.connection.countHead(p)
+	if bytes == 0 {
+		return true
+	}
+	if total > c.connection.budget.headBytes() {
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge, "")
 		c.connection.budget.refused(accountant.Head)
 		return false
 	}
-	if first {
-		c.connection.advance(accountant.Heading, 0, nil)
+	if bytes == total {
+		c.connection.beginHead()
 	}
 	if !c.connection.Reserve(accountant.Head, int64(bytes)*byteFactor+int64(lines)*lineBytes) {
 		c.refuse(http.StatusServiceUnavailable, "Retry-After: 1\r\n")
@@ -64,6 +63,17 @@
 	return true
 }
 
+// countHead returns how many bytes and lines belong to a head, and how many bytes of it have come in all.
+func (c *Connection) countHead(p []byte) (bytes, lines, total int) {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	if !c.head.reading {
+		return 0, 0, 0
+	}
+	bytes, lines = c.head.count(p)
+	return bytes, lines, c.head.bytes
+}
+
 // count adds bytes up to the end of the head and returns how many bytes and lines came.
 func (h *headCount) count(p []byte) (read, lines int) {
 	rest := p
@@ -90,8 +100,20 @@
 	return read, lines
 }
 
-// endHead stops counting: net/http has read the whole head.
-func (c *Connection) endHead() { c.head.reading = false }
+// endHead stops counting, since net/http has read the whole head, and returns how many lines have been counted.
+func (c *Connection) endHead() int {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head.reading = false
+	return c.head.lines
+}
+
+// expectHead starts counting the next head.
+func (c *Connection) expectHead() {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = headCount{reading: c.conn.plain}
+}
 
 func (b *Budget) headBytes() int {
 	if b.HeadBytes != nil {
--- a/inspector/holding.go
+++ b/inspector/holding.go
@@ -46,8 +46,7 @@
 	if !c.accounted() {
 		return true
 	}
-	c.endHead()
-	now, uncounted := time.Now(), int64(headerLines-c.head.lines)*lineBytes // in the bytes read with an earlier request
+	now, uncounted := time.Now(), int64(headerLines-c.endHead())*lineBytes // in the bytes read with an earlier request
 	taken := false
 	c.budget.with(c, func(a *accountant.Account) {
 		a.Advance(&c.holding, accountant.Reading, 0, now)
@@ -68,6 +67,16 @@
 	c.Return(accountant.Request, requestBytes)
 }
 
+// beginHead says that a part of a head has come. net/http may have read it in the background during the request before.
+func (c *Connection) beginHead() {
+	now := time.Now()
+	c.budget.with(c, func(a *accountant.Account) {
+		if stage := c.holding.Stage(); stage == accountant.Silent || stage == accountant.Idle {
+			a.Advance(&c.holding, accountant.Heading, 0, now)
+		}
+	})
+}
+
 // SetRank sets the rank of the request; 0 is the most urgent.
 func (c *Connection) SetRank(rank int) {
 	c.advance(accountant.Reading, rank, nil)
@@ -121,7 +130,7 @@
 
 // idle ends the request of a connection that stays open. It is called on the connection's goroutine.
 func (c *Connection) idle() {
-	c.head = headCount{reading: c.conn.plain}
+	c.expectHead()
 	if c.writeDeadline {
 		c.writeDeadline = false
 		c.conn.SetWriteDeadline(time.Time{}) // fails only if the connection is closed
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
+	"sync"
 	"syscall"
 	"time"
 
@@ -35,7 +36,8 @@
 	address       netip.Addr
 	holding       accountant.Holding // guarded by Budget.mu
 	cancel        context.CancelFunc // of the request that waits to be sent; guarded by Budget.mu
-	head          headCount          // used on the goroutine that reads the connection
+	headMu        sync.Mutex         // net/http reads in the background while a request is served
+	head          headCount          // guarded by headMu
 	writeDeadline bool               // a deadline of writes is set; used on the goroutine that serves the connection
 }
 
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// unreadBytes is what the kernel may receive of an answer while its caller reads slowly.
+const unreadBytes = 64 << 10
+
+// holdPartial enters the received part of an event that has grown into the account.
+func (x *exchange) holdPartial(before int) {
+	if after := cap(x.stream.partial); after > before && after > minBufferedBytes {
+		x.connection.Force(accountant.Answer, int64(after-before))
+	}
+}
+
 // boundWrites bounds the writing of the answer, so that a caller that doesn't read ends.
 func (x *exchange) boundWrites() {
 	deadline := x.deadline
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -242,6 +242,7 @@
 	x.writeHeader(response.Status, response.Header)
 	_, err = x.w.Write(body)
 	if err == nil && more {
+		x.connection.Force(accountant.Answer, unreadBytes)
 		_, err = io.Copy(x.w, response.Body)
 	}
 	x.reportFinished(action, 0)
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -48,7 +48,9 @@
 	for {
 		n, err := response.Body.Read(chunk)
 		if n > 0 {
+			before := cap(x.stream.partial)
 			x.stream.partial = append(x.stream.partial, chunk[:n]...)
+			x.holdPartial(before)
 			invalid, err := x.passEvents(wd, action, response, flusher)
 			if err != nil {
 				x.noticeLeft(leftWhileWriting)
