--- a/assembler/cluster_test.go
+++ b/assembler/cluster_test.go
@@ -65,6 +65,7 @@
 	ordering  string
 	engines   []string
 	daemons   []*daemon
+	limits    map[string]any // of the daemons' settings
 }
 
 type daemon struct {
@@ -105,7 +106,7 @@
 func newCluster(t testing.TB, daemons int, interval, orderDelay string) *cluster {
 	t.Helper()
 	pid := os.Getpid()
-	c := &cluster{t: t, is: is.New(t), dir: t.TempDir()}
+	c := &cluster{t: t, is: is.New(t), dir: t.TempDir(), limits: map[string]any{}}
 	c.host = fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, clusters.Add(1))
 	c.store = c.startFake("store")
 	c.ordering = c.startFake("service", "--delay", orderDelay)
@@ -157,6 +158,7 @@
 		"platform":          map[string]string{"object-api": c.store},
 		"signing-key-files": []string{filepath.Join(c.dir, "signing.key")},
 		"drain":             map[string]string{"notice": "200ms"},
+		"limits":            c.limits,
 	})
 	c.is.NoErr(err)
 	c.write(d.settings, string(settings))
--- a/assembler/gateway_flood_test.go
+++ b/assembler/gateway_flood_test.go
@@ -166,23 +166,28 @@
 	is.New(f.t).NoErr(f.process.Process.Signal(syscall.Signal(0)))
 }
 
-// peakMemory returns the peak resident memory of the process in MB.
-func (f *floodedGateway) peakMemory() float64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", f.process.Process.Pid))
-	is.New(f.t).NoErr(err)
+func (f *floodedGateway) peakMemory() float64 { return peakMemory(f.t, f.process.Process.Pid) }
+
+// peakMemory returns the peak resident memory of a process in MB.
+func peakMemory(t testing.TB, pid int) float64 {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	is.New(t).NoErr(err)
 	for line := range strings.Lines(string(text)) {
 		if value, found := strings.CutPrefix(line, "VmHWM:"); found {
 			kB, err := strconv.Atoi(strings.Fields(value)[0])
-			is.New(f.t).NoErr(err)
+			is.New(t).NoErr(err)
 			return float64(kB) * 1024 / 1e6
 		}
 	}
-	f.t.Fatal("no VmHWM")
+	t.Fatal("no VmHWM")
 	return 0
 }
 
-func (f *floodedGateway) descriptors() int {
-	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", f.process.Process.Pid)) // empty if it has exited
+func (f *floodedGateway) descriptors() int { return descriptorsOf(f.process.Process.Pid) }
+
+func descriptorsOf(pid int) int {
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)) // empty if the process has exited
 	return len(entries)
 }
 
