--- a/activator/activator_test.go
+++ b/activator/activator_test.go
@@ -133,6 +133,7 @@
 				d.Confirm()
 				select {
 				case <-time.After(200 * time.Millisecond):
+					d.Apply() // as on a change of the endpoints
 				case <-changed:
 					unchanged = false
 				case <-ctx.Done():
--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -43,10 +43,17 @@
 		number, _ := strconv.ParseUint(id, 16, 64)
 		call.Parts = append(call.Parts, decider.Part{ID: number, Tokens: 100})
 	}
+	for _, key := range header["X-Key"] {
+		call.Credentials = append(call.Credentials, matcher.Key(key))
+	}
 	return call
 }
 
 func (dialect) Encode(header http.Header, a relayer.Attempt) {
+	if a.Authenticated {
+		header.Del("X-Key")
+		header.Set("X-Workspace", string(a.Workspace))
+	}
 	header.Set("X-Endpoint", string(a.Endpoint))
 	header.Set("X-Remaining", strconv.FormatInt(a.Remaining.Milliseconds(), 10))
 	header.Set("X-Last-Event", a.LastEvent)
