--- a/assembler/gateway_keys_test.go
+++ b/assembler/gateway_keys_test.go
@@ -39,15 +39,15 @@
 	return o.text.String()
 }
 
-// configureWorkspaces writes a newer configuration with the same routes and the given workspaces, as JSON.
-func (s *site) configureWorkspaces(workspaces string) {
+// configureWorkspaces replaces the workspaces of the configuration, given as JSON, with one write.
+func (s *site) configureWorkspaces(version, workspaces string) {
 	s.t.Helper()
 	is := is.New(s.t)
-	s.configureDefaultRoutes()
 	object, err := s.Store.Get(s.t.Context(), platform.ConfigKey)
 	is.NoErr(err)
 	var config map[string]json.RawMessage
 	is.NoErr(json.Unmarshal(object.Value, &config))
+	config["version"] = json.RawMessage(version)
 	config["tenants"] = json.RawMessage(workspaces)
 	value, err := json.Marshal(config)
 	is.NoErr(err)
@@ -61,7 +61,8 @@
 	is := is.New(t)
 	s := newSite(t)
 	const known, withdrawn, unknown = "key-known-51f0", "key-withdrawn-77a2", "key-unknown-90cc"
-	s.configureWorkspaces(`[{"name":"huka270","apiKeys":["` + known + `","` + withdrawn + `"]}]`)
+	s.configureDefaultRoutes()
+	s.configureWorkspaces("101", `[{"name":"huka270","apiKeys":["`+known+`","`+withdrawn+`"]}]`)
 	s.startServer("app-1", "app", "")
 	settings := s.newSettings("gateway-1")
 	settings.RevocationBound = namer.Duration(5 * time.Second)
@@ -86,9 +87,9 @@
 	is.Equal(send(unknown), http.StatusUnauthorized)
 	is.Equal(send(), http.StatusUnauthorized)
 	is.Equal(send(known, withdrawn), http.StatusUnauthorized)
-	s.configureWorkspaces(`[{"name":"huka270","apiKeys":["` + known + `"]}]`)
+	s.configureWorkspaces("102", `[{"name":"huka270","apiKeys":["`+known+`"]}]`)
 	eventually(t, "the key is withdrawn", func() bool { return send(withdrawn) == http.StatusUnauthorized })
-	s.configureWorkspaces(`[{"name":"` + unknown + ` ","apiKeys":["` + known + `"]}]`)
+	s.configureWorkspaces("103", `[{"name":"`+unknown+` ","apiKeys":["`+known+`"]}]`)
 	eventually(t, "a configuration that can't be decoded is refused", func() bool { return strings.Contains(log.String(), "configuration-refused") })
 	s.api.Close()
 	eventually(t, "keys are not current", func() bool { return send(known) == http.StatusServiceUnavailable })
