relayer: Count requests of real keys in tests; a scripted core that forgets ended requests

Cause: the tests of metering set the workspace of a request by hand, which the check of keys now does.

--- a/relayer/fake_test.go
+++ b/relayer/fake_test.go
@@ -112,6 +112,7 @@
 	events  []decider.Event
 	called  []namer.Endpoint // by calls that are no attempts
 	request decider.Request
+	current namer.StreamID // of the last request, until it ends
 
 	onArrive func() // called before the first decision about a request, if set
 
@@ -124,7 +125,7 @@
 func (s *scriptedCore) Arrive(_ time.Time, r decider.Request) []decider.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.request = r
+	s.request, s.current = r, r.ID
 	if s.onArrive != nil {
 		s.onArrive()
 	}
@@ -138,6 +139,14 @@
 	case decider.EventCalled:
 		s.called = append(s.called, e.Endpoint)
 		return nil
+	case decider.EventFinished, decider.EventCancelled:
+		s.ended(e.Request)
+	case decider.EventUnresponsive, decider.EventHealth:
+		if e.Request != s.current {
+			return nil // a watchdog's event that was sent before the request ended
+		}
+	}
+	switch e.Kind {
 	case decider.EventUnresponsive:
 		s.unresponsive = e.Endpoint
 		decision := decider.Action{Kind: decider.ActionKeep, Request: e.Request, Attempt: e.Attempt, Endpoint: e.Endpoint}
@@ -170,9 +179,19 @@
 		action, s.actions = s.actions[0], s.actions[1:]
 	}
 	action.Request = request
+	if action.Kind == decider.ActionRefuse {
+		s.ended(request)
+	}
 	return []decider.Action{action}
 }
 
+// ended forgets a request, about which a decision core makes no further decision.
+func (s *scriptedCore) ended(request namer.StreamID) {
+	if s.current == request {
+		s.current = ""
+	}
+}
+
 // reset sets the actions for the next request and discards the recorded events.
 func (s *scriptedCore) reset(actions []decider.Action) {
 	s.mu.Lock()
--- a/relayer/metering_test.go
+++ b/relayer/metering_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"testing"
@@ -11,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"apricotspool/forwarder"
-	"apricotspool/inspector"
+	"apricotspool/matcher"
 	"apricotspool/namer"
 )
 
@@ -28,19 +27,19 @@
 	m.began, m.names = append(m.began, at), append(m.names, workspace)
 }
 
-// serveAs replaces the fixture's server by one whose requests all belong to a workspace.
-func (f *fixture) serveAs(workspace namer.Caller) *meter {
+// meterWorkspace counts the requests of a relayer at which a workspace has a key; an empty name means no workspaces.
+func (f *fixture) meterWorkspace(workspace namer.Caller) *meter {
 	m := &meter{}
 	f.relayer.Meter = m
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.relayer.ServeAs(workspace, w, r) }))
-	server.Config.ConnContext = inspector.ConnContext
-	server.Start()
-	f.t.Cleanup(server.Close)
-	f.server.Close()
-	f.server = server
+	if workspace != "" {
+		newKeys(f, matcher.Workspace{Name: workspace, Keys: []matcher.Key{meteredKey}})
+	}
 	return m
 }
 
+// meteredKey is the key of the workspace whose requests are counted.
+const meteredKey = "key-w"
+
 // Guards against requests that are counted although no endpoint began to run them, or counted twice, or not at all.
 func TestBeginningIsCountedOnce(t *testing.T) {
 	refuse := func(w http.ResponseWriter, _ *http.Request) {
@@ -78,14 +77,14 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(t, dispatchTo("a", "b")...)
-			m := f.serveAs(namer.Caller(row.workspace))
+			m := f.meterWorkspace(namer.Caller(row.workspace))
 			f.targets["a"] = forwarder.Target{Endpoint: "a", Address: netip.MustParseAddrPort("127.0.0.1:1")}
 			for endpoint, handler := range map[namer.Endpoint]http.HandlerFunc{"a": row.a, "b": row.b} {
 				if handler != nil {
 					f.endpoint(endpoint, handler)
 				}
 			}
-			f.send("POST", row.path, "", row.header...)
+			f.send("POST", row.path, "", append([]string{"X-Key", meteredKey}, row.header...)...)
 			f.server.Close() // waits for the handler
 			is.Equal(len(m.began), row.counted)
 			for _, name := range m.names {
@@ -102,7 +101,7 @@
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(t, dispatchTo("a")...)
-			m := f.serveAs("w")
+			m := f.meterWorkspace("w")
 			var arrived, firstEvent, ended time.Time
 			f.endpoint("a", func(w http.ResponseWriter, r *http.Request) {
 				arrived = time.Now()
@@ -113,7 +112,7 @@
 				}
 				ended = time.Now()
 			})
-			f.send("POST", path, "")
+			f.send("POST", path, "", "X-Key", meteredKey)
 			f.server.Close()
 			is.Equal(len(m.began), 1)
 			is.Equal(m.began[0].Before(arrived), early)
