provisioner: Judge the load by the best recent prompt rate; replace on-demand engines sooner

Until the load was proven, 45 engines had to be left after a loss, which the maximum of a data centre doesn't permit while the on-demand ones are there. Change: work counts by the highest rate that engines have recently shown; two thirds of the first engines have to be left after a loss while the load isn't proven; half of the engines may be released at a time. TestSlowEnginesAreNoLoad fails without the factor.

--- a/provisioner/demand.go
+++ b/provisioner/demand.go
@@ -27,6 +27,18 @@
 	updatedAt time.Time
 	samples   []sample // that count, with falling work: the first is the peak
 	longPeak  float64
+	rate      float64 // highest prompt rate of an engine, forgotten as longPeak is
+	ratedAt   time.Time
+}
+
+// bestRate returns the highest prompt rate that an engine has recently shown. Rates are measured while prompts wait, so that
+// they halve when some engines are slow for a while; the work of the others isn't twice as much then.
+func (d *demand) bestRate(now time.Time, rate float64) float64 {
+	if !d.ratedAt.IsZero() {
+		d.rate *= math.Exp(-float64(now.Sub(d.ratedAt)) / float64(floorPeriods*d.period))
+	}
+	d.rate, d.ratedAt = max(d.rate, rate), now
+	return d.rate
 }
 
 type sample struct {
--- a/provisioner/engine.go
+++ b/provisioner/engine.go
@@ -43,11 +43,11 @@
 }
 
 // work returns what the engine has to do, in engines: the fraction of time that its prompts take, plus the fraction of its
-// slots that its outputs take.
-func (e *Engine) work() float64 {
+// slots that its outputs take. Engines can be faster than their present rate by a factor.
+func (e *Engine) work(faster float64) float64 {
 	work := float64(e.Generating) / float64(max(1, e.Slots))
 	if e.Rate > 0 {
-		work += e.Inflow / e.Rate
+		work += e.Inflow / (faster * e.Rate)
 	}
 	return work
 }
--- a/provisioner/planner.go
+++ b/provisioner/planner.go
@@ -18,10 +18,13 @@
 	// Loads are moving averages over 2 s, so that bursts exceed them, and new engines have cold caches.
 	fill     = 0.35
 	lossFill = 0.5
+	// unprovenLossShare is the part of the engines at the first load that must be left after a loss while the load isn't
+	// proven.
+	unprovenLossShare = 2.0 / 3
 	// releaseMargin is the factor by which the load may grow without more engines being ordered after a release.
 	releaseMargin = 1.15
 	// maxReleaseShare is the part of the engines that is released at a time.
-	maxReleaseShare = 1.0 / 3
+	maxReleaseShare = 1.0 / 2
 	// settleBoots is the part of the boot time for which an engine serves before it replaces another one: its cache is
 	// cold at first.
 	settleBoots = 0.5
@@ -100,9 +103,10 @@
 		e.seen = false
 	}
 	work, known := 0.0, 0
+	speed := p.speed(now, engines)
 	for i := range engines {
 		if p.observeEngine(now, &s, &engines[i]); engines[i].LoadKnown {
-			work += engines[i].work()
+			work += engines[i].work(speed)
 			known++
 		}
 	}
@@ -124,6 +128,18 @@
 	}
 }
 
+// speed returns how much faster engines have recently processed prompts than they do now.
+func (p *Planner) speed(now time.Time, engines []Engine) float64 {
+	fastest := 0.0
+	for i := range engines {
+		fastest = max(fastest, engines[i].Rate)
+	}
+	if fastest <= 0 {
+		return 1
+	}
+	return p.demand.bestRate(now, fastest) / fastest
+}
+
 func (p *Planner) group(name Group) *group {
 	if p.groups[name] == nil {
 		p.groups[name] = &group{}
@@ -206,7 +222,8 @@
 	work := factor * p.demand.peak()
 	n := need{all: int(math.Ceil(work / fill)), afterLoss: int(math.Ceil(work / lossFill))}
 	if !p.demand.proven(now) {
-		n.all, n.afterLoss = max(n.all, p.start.all), max(n.afterLoss, p.start.afterLoss)
+		n.all = max(n.all, p.start.all)
+		n.afterLoss = max(n.afterLoss, min(p.start.afterLoss, int(math.Ceil(unprovenLossShare*float64(p.start.all)))))
 	}
 	return n
 }
--- a/provisioner/planner_test.go
+++ b/provisioner/planner_test.go
@@ -1,12 +1,14 @@
 package provisioner_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"apricotspool/matcher"
 	"apricotspool/namer"
 	"apricotspool/provisioner"
 )
@@ -94,3 +96,33 @@
 	is.Equal(f.count(provisioner.OnDemand), 0) // preemptible engines are to be had again
 	is.True(f.overMax == 0)
 }
+
+// Guards against engines that are ordered because some are slow for a while: the measured rate of all falls then, and the
+// load seems to be twice as much.
+func TestSlowEnginesAreNoLoad(t *testing.T) {
+	is := is.New(t)
+	p := &provisioner.Planner{}
+	s := matcher.Scaling{Min: 1, Max: 90, Boot: 4 * time.Second, PreemptiblePrice: 0.15, Prices: map[namer.DataCentre]float64{"a": 1}}
+	engines := make([]provisioner.Engine, 30)
+	for i := range engines {
+		engines[i] = provisioner.Engine{
+			Name: namer.Endpoint(fmt.Sprint("e-", i)), DataCentre: "a", Answering: true, LoadKnown: true, Slots: 64, Inflow: 40_000, Rate: 200_000,
+		}
+	}
+	work := func(from, to time.Duration, rate float64) (peak float64) {
+		for at := from; at < to; at += 250 * time.Millisecond {
+			for i := range engines {
+				engines[i].Rate = rate
+			}
+			now := time.Unix(0, 0).Add(at)
+			p.Observe(now, s, engines)
+			for _, o := range p.Plan(now, s) {
+				peak = max(peak, o.Basis.Work)
+				p.Record(now, s, o, provisioner.Unavailable)
+			}
+		}
+		return peak
+	}
+	is.True(work(0, 20*time.Second, 200_000) < 6.1)
+	is.True(work(20*time.Second, 24*time.Second, 90_000) < 8) // 13 engines' work by the present rate
+}
