--- a/provisioner/provisioner_test.go
+++ b/provisioner/provisioner_test.go
@@ -45,10 +45,13 @@
 
 // Order implements provisioner.Orderer.
 func (o *orderedFleet) Order(ctx context.Context, c provisioner.Call) (provisioner.Result, error) {
+	o.mu.Lock()
+	delay := o.delay
+	o.mu.Unlock()
 	select {
 	case <-ctx.Done():
 		return provisioner.Failed, ctx.Err()
-	case <-time.After(o.delay):
+	case <-time.After(delay):
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
