provisioner: Notice reclaimed engines whose entries don't say when they end

Cause: the planner took a reclaim from the time that is left, which the entries of servers don't state (they only say that they leave). The order for these engines stayed in effect until it expired, so that replacements were ordered 4.2 s after the first notice. Change: a group of preemptible engines of which most leave, without an order for fewer, has been taken back. Result: TestReclaimWithoutTimeIsNoticed fails without the call and passes with it; go test ./provisioner passes. Ruled out: a load above the plan (15 engines' work, 61 there).

--- a/provisioner/planner.go
+++ b/provisioner/planner.go
@@ -110,6 +110,7 @@
 			known++
 		}
 	}
+	p.observeReclaims(now, &s, engines)
 	maps.DeleteFunc(p.sightings, func(_ namer.Endpoint, e *sighting) bool { return !e.seen })
 	for name, g := range p.groups {
 		if p.cutOff(name.DataCentre) {
@@ -179,6 +180,19 @@
 	}
 }
 
+// observeReclaims notes groups of preemptible engines of which most leave, although that wasn't ordered. An entry need not
+// say when its engine ends: the platform takes back all of a data centre at once, while other causes leave most of them.
+func (p *Planner) observeReclaims(now time.Time, s *matcher.Scaling, engines []Engine) {
+	for i := range engines {
+		e := &engines[i]
+		g, seen := p.groups[Group{e.DataCentre, e.Kind}], p.sightings[e.Name]
+		if e.Leaving && e.Kind == Preemptible && !seen.reclaimed && g.leaving > g.present {
+			seen.reclaimed = true
+			p.reclaim(now, s, g, e.Kind)
+		}
+	}
+}
+
 // reclaim notes that the platform takes an engine back, unless that was ordered.
 func (p *Planner) reclaim(now time.Time, s *matcher.Scaling, g *group, kind Kind) {
 	if kind != Preemptible || g.lowered {
--- a/provisioner/planner_test.go
+++ b/provisioner/planner_test.go
@@ -126,3 +126,52 @@
 	is.True(work(0, 20*time.Second, 200_000) < 6.1)
 	is.True(work(20*time.Second, 24*time.Second, 90_000) < 8) // 13 engines' work by the present rate
 }
+
+// Guards against replacements that are ordered only when the orders for the reclaimed engines have expired, because the
+// entries of these engines say that they leave, but not when.
+func TestReclaimWithoutTimeIsNoticed(t *testing.T) {
+	is := is.New(t)
+	p := &provisioner.Planner{}
+	s := matcher.Scaling{
+		Min: 1, Max: 90, Boot: 4 * time.Second, PreemptiblePrice: 0.15,
+		Prices: map[namer.DataCentre]float64{"a": 1, "b": 1, "c": 1},
+	}
+	var engines []provisioner.Engine
+	for i := range 45 {
+		engines = append(engines, provisioner.Engine{
+			Name: namer.Endpoint(fmt.Sprint("e-", i)), DataCentre: []namer.DataCentre{"a", "b", "c"}[i%3], Kind: provisioner.Preemptible,
+			Answering: true, LoadKnown: true, Slots: 64, Inflow: 66_000, Rate: 200_000,
+		})
+	}
+	at := time.Unix(0, 0)
+	ordered := func() (orders []provisioner.Order) {
+		p.Observe(at, s, engines)
+		for _, o := range p.Plan(at, s) {
+			orders = append(orders, o)
+			p.Record(at, s, o, provisioner.Accepted)
+		}
+		at = at.Add(250 * time.Millisecond)
+		return orders
+	}
+	for range 80 {
+		for _, o := range ordered() {
+			for n := o.Before; n < o.Desired; n++ {
+				engines = append(engines, provisioner.Engine{
+					Name: namer.Endpoint(fmt.Sprint(o.DataCentre, "-", n)), DataCentre: o.DataCentre, Kind: o.Kind, Answering: true, LoadKnown: true, Slots: 64, Rate: 200_000,
+				})
+			}
+		}
+	}
+	for i := range engines {
+		if engines[i].DataCentre == "b" {
+			engines[i].Leaving = true
+		}
+	}
+	elsewhere := 0
+	for _, o := range ordered() {
+		if o.DataCentre != "b" {
+			elsewhere += o.Desired - o.Before
+		}
+	}
+	is.True(elsewhere > 0)
+}
