--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 root=$(cd ../.. && pwd) || exit 2
 [ -x "$root/target/apricotspool" ] && [ -x "$root/target/review-standin-2" ] || exit 2
-REVIEW_ROOT=$root exec "$root/target/review-standin-2" builds
+REVIEW_ROOT=$root exec "$root/target/review-standin-2" leaving
