follower: a reader's own cut is no outage of the store

Cause: a reader's reply passed the end of its own outage on (SinceOutage) and followers took it for the store's.

Change: a reply says whether the reader's calls fail. A follower that is told so calls the store once itself; only its own failed call, or a later era, makes an outage. The log shows both (reader-state-changed, missing-entries-kept). This works since a daemon in touch reaches the store, so that its own call refutes the outage.

--- a/follower/fake_test.go
+++ b/follower/fake_test.go
@@ -22,6 +22,8 @@
 	fault       error      // returned by lists and watches
 	partitioned bool       // calls hang until their timeout, also those in progress when the partition ends
 	calls       int
+	connected   context.Context // done when the waiting watches are cut; nil before the first cut
+	disconnect  context.CancelFunc
 }
 
 func newFaultyStore() *faultyStore { return &faultyStore{Store: &imitator.Store{}} }
@@ -33,6 +35,17 @@
 	s.hangWatches, s.fault = hangWatches, fault
 }
 
+// cut resets all calls in progress and makes new ones fail, or lets calls through again.
+func (s *faultyStore) cut(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault = nil; on {
+		s.fault = storer.ErrUnavailable
+		s.disconnect()
+	}
+	s.connected, s.disconnect = context.WithCancel(context.Background())
+}
+
 // partition makes calls hang, or lets new calls through again.
 func (s *faultyStore) partition(on bool) {
 	s.mu.Lock()
@@ -90,7 +103,18 @@
 		<-ctx.Done()
 		return storer.Changes{}, storer.ErrUnavailable
 	}
-	return s.Store.Watch(ctx, prefix, since)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.mu.Lock()
+	if s.connected != nil {
+		defer context.AfterFunc(s.connected, cancel)()
+	}
+	s.mu.Unlock()
+	changes, err := s.Store.Watch(ctx, prefix, since)
+	if err != nil && ctx.Err() != nil {
+		err = storer.ErrUnavailable
+	}
+	return changes, err
 }
 
 func (s *faultyStore) put(t *testing.T, name string) storer.Object {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -65,7 +65,7 @@
 	// Sync asks a reader for the changes since a version.
 	Sync(ctx context.Context, request *SyncRequest) (*SyncReply, error)
 	// ReportStaleReader reports that this daemon reached the object API while its reader has only a stale
-	// replica.
+	// replica, or does not reach it.
 	ReportStaleReader()
 }
 
@@ -98,10 +98,12 @@
 	confirmed       time.Time // when the object API last confirmed the replica; see confirmation
 	responded       time.Time // when the object API last responded
 	readerResponded time.Time // when the reader of this daemon last responded
+	readerFailing   bool      // the reader's calls to the object API fail, as of its last reply
+	verify          bool      // whether the object API is out has to be checked by a call of this daemon
 	failing         bool
 	failedAt        time.Time // when failing was set
 	outageEnd       time.Time
-	changed         chan struct{} // closed and replaced on each change
+	changed         chan struct{} // closed and replaced by notify
 }
 
 func (f *Follower) init() {
@@ -124,7 +126,8 @@
 // Listing returns the latest state, or nil before the first one.
 func (f *Follower) Listing() *Listing { return f.listing.Load() }
 
-// Changed returns a channel that is closed on the next change.
+// Changed returns a channel that is closed on the next change of the listing, or when calls to the object API begin to fail
+// or respond again.
 func (f *Follower) Changed() <-chan struct{} {
 	f.init()
 	f.mu.Lock()
@@ -173,12 +176,22 @@
 	return age >= f.boundFraction(staleFraction)
 }
 
-// poll lists all objects: periodically if this daemon is a reader, otherwise whenever its replica is stale.
+// takeVerify reports whether the object API has to be called, and takes it as done.
+func (f *Follower) takeVerify() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	verify := f.verify
+	f.verify = false
+	return verify
+}
+
+// poll lists all objects: periodically if this daemon is a reader, otherwise whenever its replica is stale, and once when its
+// reader's calls begin to fail.
 func (f *Follower) poll(ctx context.Context) {
 	period := f.boundFraction(pollFraction)
 	delay := minBackoff
 	for ctx.Err() == nil {
-		if !f.isReader() && !f.stale() {
+		if verify := f.takeVerify(); !f.isReader() && !f.stale() && !verify {
 			sleep(ctx, checkPeriod)
 			continue
 		}
@@ -339,7 +352,8 @@
 	if responded.After(f.responded) {
 		f.responded = responded
 	}
-	if f.failing && confirmed.After(f.failedAt) {
+	answers := f.failing && confirmed.After(f.failedAt)
+	if answers {
 		f.failing, f.outageEnd = false, responded
 		f.Log.Info().Str("prefix", f.Prefix).Uint64("version", uint64(f.state.version)).Msg("object-api-answers")
 	}
@@ -359,12 +373,17 @@
 	if listing := f.listing.Load(); changed || listing == nil || listing.OutageEnd != f.outageEnd {
 		f.listing.Store(f.state.listing(f.outageEnd, f.confirmation.Changes))
 	}
-	if changed {
-		close(f.changed)
-		f.changed = make(chan struct{})
+	if changed || answers {
+		f.notify()
 	}
 }
 
+// notify wakes those who wait for Changed. The caller holds f.mu.
+func (f *Follower) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // recordFailure marks the object API as failing. It ignores a call that began before the object API last
 // responded: such a call may have hung on a connection that was dead before.
 func (f *Follower) recordFailure(ctx context.Context, callStart time.Time, call string, err error) {
@@ -375,6 +394,7 @@
 	first := !f.failing && callStart.After(f.responded)
 	if first {
 		f.failing, f.failedAt = true, time.Now()
+		f.notify()
 	}
 	f.mu.Unlock()
 	if first {
--- /dev/null
+++ b/follower/outage_test.go
@@ -0,0 +1,81 @@
+package follower_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"apricotspool/follower"
+	"apricotspool/imitator"
+)
+
+// startPair runs a reader and a daemon that replicates from it, each with its own path to one store.
+func startPair(t *testing.T) (readerPath, ownPath *faultyStore, reader, f *follower.Follower) {
+	shared := &imitator.Store{}
+	readerPath, ownPath = &faultyStore{Store: shared}, &faultyStore{Store: shared}
+	readerPath.cut(false)
+	ownPath.cut(false)
+	ownPath.put(t, "a")
+	reader = &follower.Follower{Source: readerPath, Prefix: prefix}
+	run(t, reader)
+	f = &follower.Follower{Source: ownPath, Prefix: prefix, Readers: &fakeReaders{reader: reader}}
+	run(t, f)
+	time.Sleep(5 * time.Second)
+	return readerPath, ownPath, reader, f
+}
+
+// Guards against a reader's own cut that its followers take for an outage of the store: they would keep an endpoint that
+// has left as if its entry had expired (review/6, DRAIN).
+func TestCutOfReaderIsNoOutage(t *testing.T) {
+	for _, length := range []time.Duration{50, 300, 700, 1600, 3000} {
+		length *= time.Millisecond
+		t.Run(length.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				readerPath, ownPath, _, f := startPair(t)
+				readerPath.cut(true)
+				time.Sleep(length / 2)
+				ownPath.remove(t, "a")
+				time.Sleep(length / 2)
+				readerPath.cut(false)
+				time.Sleep(stalenessBound - length/2)
+				is.Equal(objectCount(f.Listing()), 0)
+				is.True(f.Listing().OutageEnd.IsZero())
+			})
+		})
+	}
+}
+
+// Guards against an outage of the store that followers don't notice, because their reader reads for them: they would drop
+// live endpoints whose entries have expired meanwhile.
+func TestFollowerNoticesOutage(t *testing.T) {
+	for _, length := range []time.Duration{1200, 2400, 5000} {
+		length *= time.Millisecond
+		t.Run(length.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				readerPath, ownPath, reader, f := startPair(t)
+				readerPath.cut(true)
+				ownPath.cut(true)
+				time.Sleep(length)
+				shared := ownPath.Store
+				expired, err := shared.Get(t.Context(), prefix+"a")
+				is.NoErr(err)
+				is.NoErr(shared.Delete(t.Context(), prefix+"a", expired.Version))
+				readerPath.cut(false)
+				ownPath.cut(false)
+				returned := time.Now()
+				for objectCount(f.Listing()) > 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				end := f.Listing().OutageEnd
+				is.True(!end.Before(returned)) // known when the entry goes, not later
+				time.Sleep(5 * time.Second)
+				is.Equal(f.Listing().OutageEnd, end) // and it ends once
+				is.True(f.Listing().OutageEnd.Sub(reader.Listing().OutageEnd).Abs() < 500*time.Millisecond)
+			})
+		})
+	}
+}
--- a/follower/sync.go
+++ b/follower/sync.go
@@ -11,16 +11,14 @@
 	"apricotspool/timekeeper"
 )
 
-// sameOutageWindow is the maximum difference between the times at which two daemons notice the end of the
-// same outage. An end that a reader reports later than that belongs to another outage.
-const sameOutageWindow = time.Second
-
 // SyncRequest asks a reader for the changes since a version.
 type SyncRequest struct {
 	_      struct{} `cbor:",toarray"`
 	Prefix string
 	Known  storer.Version // 0 requests all objects
 	Wait   time.Duration  // long-poll time: how long to hold the call while nothing changes
+	// Failing is the last SyncReply.Failing that the caller received; a change of it ends the long poll.
+	Failing bool
 }
 
 // SyncReply is the reply to a SyncRequest.
@@ -32,16 +30,17 @@
 	Objects []storer.Object
 	// Age is the time since the object API confirmed this state.
 	Age time.Duration
-	// SinceOutage is the time since the object API last responded again after a failed call; 0 for never.
-	SinceOutage time.Duration
+	// Failing says that the reader's own calls to the object API fail. The reader can't tell an outage of the object API from
+	// a cut of its own path, so whoever needs to know has to call the object API itself.
+	Failing bool
 	// Held is how long the reader has held the call before it made the reply.
 	Held time.Duration
 }
 
 // check returns an error if a reply has values that no reader sends.
 func (r *SyncReply) check(prefix string) error {
-	if r.Age < 0 || r.SinceOutage < 0 || r.Held < 0 {
-		return errors.Errorf("age %v, time since the outage %v and time held %v must not be negative", r.Age, r.SinceOutage, r.Held)
+	if r.Age < 0 || r.Held < 0 {
+		return errors.Errorf("age %v and time held %v must not be negative", r.Age, r.Held)
 	}
 	for _, o := range r.Objects {
 		if !strings.HasPrefix(o.Key, prefix) {
@@ -57,7 +56,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, f.boundFraction(longPollFraction)+syncTimeoutSlack)
 	defer cancel()
 	callStart, callInstant := time.Now(), f.clock()
-	reply, err := f.Readers.Sync(callCtx, &SyncRequest{Prefix: f.Prefix, Known: known, Wait: f.boundFraction(longPollFraction)})
+	request := &SyncRequest{Prefix: f.Prefix, Known: known, Wait: f.boundFraction(longPollFraction), Failing: f.readerFails()}
+	reply, err := f.Readers.Sync(callCtx, request)
 	if err == nil {
 		err = reply.check(f.Prefix)
 	}
@@ -66,9 +66,7 @@
 		sleep(ctx, minBackoff)
 		return
 	}
-	f.mu.Lock()
-	f.readerResponded = time.Now()
-	f.mu.Unlock()
+	f.recordReader(reply.Failing)
 	if reply.Age > f.boundFraction(1) {
 		sleep(ctx, minBackoff) // the reader itself can't reach the object API
 		return
@@ -76,20 +74,29 @@
 	f.applyReply(reply, callStart, callInstant)
 }
 
+// readerFails reports whether the last reply of a reader said that its calls to the object API fail.
+func (f *Follower) readerFails() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readerFailing
+}
+
+// recordReader records that a reader has replied, and whether its calls to the object API fail. When they begin to fail, this
+// daemon calls the object API once itself: whether the object API is out decides what a missing entry means.
+func (f *Follower) recordReader(failing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readerResponded = time.Now()
+	if failing != f.readerFailing {
+		f.readerFailing, f.verify = failing, failing
+		f.Log.Info().Str("prefix", f.Prefix).Bool("failing", failing).Msg("reader-state-changed")
+	}
+}
+
 // applyReply applies the reply to a call. The reader made it when it had held the call, and not before: the reply may have been
 // on its way, or either daemon suspended, for any time since.
 func (f *Follower) applyReply(reply *SyncReply, callStart time.Time, callInstant timekeeper.Instant) {
-	now := time.Now()
-	if reply.SinceOutage > 0 {
-		f.mu.Lock()
-		end := now.Add(-reply.SinceOutage)
-		if end.Sub(f.outageEnd) > sameOutageWindow {
-			f.outageEnd = end
-		}
-		f.failing = f.failing && end.Before(f.failedAt)
-		f.mu.Unlock()
-	}
-	held := min(reply.Held, now.Sub(callStart))
+	held := min(reply.Held, time.Since(callStart))
 	confirmed := callStart.Add(held - reply.Age)
 	if known, _ := f.currentVersion(); reply.Version < known {
 		confirmed = time.Time{} // an older state does not confirm the replica
@@ -116,7 +123,7 @@
 	defer timer.Stop()
 	for {
 		reply, changed := f.buildReply(request.Known, received)
-		if len(reply.Objects) > 0 || (reply.Full && reply.Version > request.Known) {
+		if len(reply.Objects) > 0 || (reply.Full && reply.Version > request.Known) || reply.Failing != request.Failing {
 			return reply
 		}
 		select {
@@ -133,14 +140,11 @@
 func (f *Follower) buildReply(known storer.Version, received timekeeper.Instant) (*SyncReply, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	reply := &SyncReply{Ready: f.state.objects != nil, Age: max(0, f.age()), Held: max(0, f.clock().Sub(received))}
+	reply := &SyncReply{Ready: f.state.objects != nil, Age: max(0, f.age()), Held: max(0, f.clock().Sub(received)), Failing: f.failing}
 	if !reply.Ready {
 		return reply, f.changed
 	}
 	changes, full := f.state.changesSince(known)
 	reply.Version, reply.Objects, reply.Full = changes.Version, changes.Objects, full
-	if !f.outageEnd.IsZero() {
-		reply.SinceOutage = time.Since(f.outageEnd)
-	}
 	return reply, f.changed
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -94,7 +94,11 @@
 		changed := r.Source.Changed()
 		var recheckTimer <-chan time.Time
 		if listing := r.Source.Listing(); listing != nil {
+			before := r.set.outageEnd
 			recheckAfter := r.set.apply(time.Now(), listing, r.decode)
+			if kept := len(r.set.expired); kept > 0 && !r.set.outageEnd.Equal(before) {
+				r.Log.Info().Int("entries", kept).Time("outage-end", r.set.outageEnd).Msg("missing-entries-kept")
+			}
 			maps.DeleteFunc(r.refused, func(key string, _ bool) bool { _, present := listing.Objects[key]; return !present })
 			r.publish(listing.Changes)
 			if recheckAfter > 0 {
