placer, registrar: what an endpoint has said of itself outlives its entry

Cause: the core kept announcements of an endpoint with its entry and dropped them when the entry went; a restored store listed the entry again, and the registrar took it as it stood. Evidence: on each gateway logs endpoint-gone, object-api-restored and endpoint-registered with the same incarnation and leaving=false.

Change: the core remembers departed endpoints; what an incarnation has said of itself (leaving, Retry-After, its limit) holds when it is listed again, and a change of its build in between is noticed. This works since an incarnation that leaves never serves again, and a later incarnation starts without it.

--- a/placer/core.go
+++ b/placer/core.go
@@ -17,7 +17,6 @@
 	"apricotspool/historian"
 	"apricotspool/namer"
 	"apricotspool/pacer"
-	"apricotspool/throttler"
 )
 
 // Core places requests on endpoints. Set the exported fields before the first call. The action slices
@@ -36,6 +35,7 @@
 	members   []*member // all daemons, including this one
 	byScope   [scopes][]*member
 	endpoints map[namer.Endpoint]*endpoint
+	departed  departed
 	pools     map[namer.Service]*pool
 	requests  map[namer.StreamID]*request
 	actions   []decider.Action
@@ -187,16 +187,19 @@
 			continue // not used by any route
 		}
 		e := old[view.Name]
-		if e != nil && e.view.Build != view.Build && e.view.Service == view.Service {
-			c.forgetOrigins(c.seconds(now), p, e)
+		earlier := e
+		if e == nil {
+			earlier = c.departed.take(view.Name)
+		}
+		if earlier != nil && earlier.view.Build != view.Build && earlier.view.Service == view.Service {
+			c.forgetOrigins(c.seconds(now), p, earlier)
 		}
 		if e == nil || e.view.Incarnation != view.Incarnation || e.view.Service != view.Service || e.view.Build != view.Build {
-			phase, earlier := c.sharePhase(view.Name), e
-			e = &endpoint{share: throttler.Share{Phase: phase}, paced: paced{paceShare: pacer.Share{Phase: phase}}}
-			created[e] = earlier
+			listed := e
+			e = c.newEndpoint(view, earlier)
+			created[e] = listed
 			delete(c.ledgers, view.Name)
-		}
-		if e.view.Role != view.Role {
+		} else if e.view.Role != view.Role {
 			// The engine is as fast as the others of its new role, and takes work again.
 			e.load, e.turnsAwayUntil = Load{PrefixTTL: e.load.PrefixTTL}, 0
 			delete(c.ledgers, view.Name)
@@ -211,6 +214,11 @@
 			delete(c.ledgers, name)
 		}
 	}
+	for name, e := range old {
+		if c.endpoints[name] == nil {
+			c.departed.add(e)
+		}
+	}
 	c.observeBuilds(c.seconds(now))
 	c.beginPaces(c.seconds(now), created)
 	for _, p := range c.pools {
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -6,7 +6,6 @@
 
 	"apricotspool/decider"
 	"apricotspool/namer"
-	"apricotspool/throttler"
 )
 
 // endpoint is this daemon's view of one endpoint.
@@ -16,17 +15,7 @@
 	express     bool // receives no prompts that would delay more urgent ones for long
 	running     int  // requests of this daemon
 	health      health
-	// announcedLeaving is set when the endpoint has said in a response that it is leaving. It holds until the
-	// endpoint is gone or has restarted.
-	announcedLeaving bool
-	limit            throttler.Limit
-	// bucket is used if this daemon is the owner, share if the owner doesn't respond.
-	bucket throttler.Bucket
-	share  throttler.Share
-	// fullUntil is the time until which the rate limit has no room for requests of an urgency, as far as known.
-	fullUntil [throttler.Urgencies]namer.Seconds
-	// turnsAwayUntil is the time until which the endpoint wants no requests from this daemon.
-	turnsAwayUntil namer.Seconds
+	statements
 
 	load          Load // latest summary from the ledger owner; engines only
 	loadUpdatedAt namer.Seconds
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -16,7 +16,7 @@
 // observeLimit records what a response says about the rate limit of its endpoint, and tells the other daemons if the
 // endpoint has become limited or unlimited. A new rate reaches the owner with the next request for a permit.
 func (c *Core) observeLimit(now namer.Seconds, event decider.Event) {
-	e := c.endpoints[event.Endpoint]
+	e := c.knownEndpoint(event.Endpoint)
 	if e == nil || event.Limit.State == decider.LimitInvalid {
 		return
 	}
@@ -58,7 +58,7 @@
 	if n == nil {
 		return
 	}
-	if e := c.endpoints[n.Endpoint]; e != nil && e.view.Incarnation == n.Incarnation {
+	if e := c.knownEndpoint(n.Endpoint); e != nil && e.view.Incarnation == n.Incarnation {
 		c.updateLimit(e, throttler.Statement{Limited: n.Limited, Rate: n.Rate, RequestedAt: now - n.RequestedAge, ReceivedAt: now - n.ReceivedAge})
 	}
 }
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -14,7 +14,7 @@
 func (c *Core) Observe(now time.Time, e decider.Event) []decider.Action {
 	c.actions = c.actions[:0]
 	if e.Kind == decider.EventLeaving {
-		if announcing := c.endpoints[e.Endpoint]; announcing != nil {
+		if announcing := c.knownEndpoint(e.Endpoint); announcing != nil {
 			announcing.announcedLeaving = true
 		}
 		return c.actions
--- a/placer/origin_test.go
+++ b/placer/origin_test.go
@@ -665,29 +665,39 @@
 }
 
 // Guards against a stream that goes on at the build in the old entry of an endpoint which has restarted with another build
-// under its name: which of the two wrote its events isn't known.
+// under its name: which of the two wrote its events isn't known, also if the entry was gone in between.
 func TestRestartWithAnotherBuildMakesOriginsUncertain(t *testing.T) {
-	is := is.New(t)
-	d := newOriginDaemons(t, "h-1")
-	d.view.Endpoints = append(d.view.Endpoints, decider.EndpointView{Name: "c", Service: service, Role: namer.RoleDecode, Concurrency: 64, Build: "v2"})
-	d.configure(20 * time.Second)
-	at := map[historian.StreamKey]namer.Endpoint{}
-	for key := range historian.StreamKey(30) {
-		d.send(22*time.Second, "h-1", key+1, false)
-		at[key+1] = d.sentTo.Name
-	}
-	a := slices.IndexFunc(d.view.Endpoints, func(e decider.EndpointView) bool { return e.Name == "a" })
-	d.view.Endpoints[a].Build, d.view.Endpoints[a].Incarnation = "v3", 2
-	d.configure(23 * time.Second)
-	uncertain := 0
-	for key, began := range at {
-		d.send(23*time.Second, "h-1", key, true)
-		if began == "a" {
-			uncertain++
-			is.Equal(d.refused, classifier.StreamUnknown)
-			continue
-		}
-		is.Equal(d.refused, classifier.Outcome(""))
+	for name, gone := range map[string]bool{"entry changes": false, "entry goes and comes back": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newOriginDaemons(t, "h-1")
+			d.view.Endpoints = append(d.view.Endpoints, decider.EndpointView{Name: "c", Service: service, Role: namer.RoleDecode, Concurrency: 64, Build: "v2"})
+			d.configure(20 * time.Second)
+			at := map[historian.StreamKey]namer.Endpoint{}
+			for key := range historian.StreamKey(30) {
+				d.send(22*time.Second, "h-1", key+1, false)
+				at[key+1] = d.sentTo.Name
+			}
+			a := slices.IndexFunc(d.view.Endpoints, func(e decider.EndpointView) bool { return e.Name == "a" })
+			if gone {
+				all := d.view.Endpoints
+				d.view.Endpoints = slices.Delete(slices.Clone(all), a, a+1)
+				d.configure(22500 * time.Millisecond)
+				d.view.Endpoints = all
+			}
+			d.view.Endpoints[a].Build, d.view.Endpoints[a].Incarnation = "v3", 2
+			d.configure(23 * time.Second)
+			uncertain := 0
+			for key, began := range at {
+				d.send(23*time.Second, "h-1", key, true)
+				if began == "a" {
+					uncertain++
+					is.Equal(d.refused, classifier.StreamUnknown)
+					continue
+				}
+				is.Equal(d.refused, classifier.Outcome(""))
+			}
+			is.True(uncertain > 0)
+		})
 	}
-	is.True(uncertain > 0)
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -99,6 +99,9 @@
 			if kept := len(r.set.expired); kept > 0 && !r.set.outageEnd.Equal(before) {
 				r.Log.Info().Int("entries", kept).Time("outage-end", r.set.outageEnd).Msg("missing-entries-kept")
 			}
+			if outdated := len(r.set.departures.outdated); outdated > 0 && !r.set.outageEnd.Equal(before) {
+				r.Log.Info().Int("entries", outdated).Msg("outdated-entries-not-used")
+			}
 			maps.DeleteFunc(r.refused, func(key string, _ bool) bool { _, present := listing.Objects[key]; return !present })
 			r.publish(listing.Changes)
 			if recheckAfter > 0 {
@@ -186,8 +189,9 @@
 	names    map[string]namer.Endpoint // by key
 	// expired holds the keys that were missing at the end of the last outage: entries expire while the
 	// object API is unavailable. An entry that disappears later has been removed deliberately.
-	expired   map[string]bool
-	outageEnd time.Time // end of the last outage
+	expired    map[string]bool
+	outageEnd  time.Time // end of the last outage
+	departures departures
 }
 
 // apply updates the set to a listing. It returns the time after which to apply the listing again, or 0
@@ -196,6 +200,19 @@
 	if s.entries == nil {
 		s.entries, s.versions, s.names = map[namer.Endpoint]Entry{}, map[string]storer.Version{}, map[string]namer.Endpoint{}
 	}
+	outageEnded := !listing.OutageEnd.Equal(s.outageEnd)
+	if outageEnded {
+		s.outageEnd, s.expired = listing.OutageEnd, map[string]bool{}
+	}
+	graceLeft := reregistrationGrace - now.Sub(s.outageEnd)
+	if graceLeft <= 0 {
+		for key := range s.departures.outdated {
+			if _, present := listing.Objects[key]; present {
+				delete(s.versions, key) // the entry is decoded again
+			}
+		}
+		clear(s.departures.outdated)
+	}
 	for key, object := range listing.Objects {
 		if s.versions[key] == object.Version {
 			continue
@@ -203,15 +220,20 @@
 		s.remove(key)
 		s.versions[key] = object.Version
 		if entry, ok := decode(object); ok {
+			switch {
+			case graceLeft > 0 && s.departures.contradicts(key, object.Version, entry.Incarnation):
+				entry.Leaving = true
+				s.departures.outdated[key] = true
+			case entry.Leaving:
+				s.departures.record(now, key, object.Version, entry.Incarnation)
+			}
 			s.entries[entry.Name], s.names[key] = entry, entry.Name
 		}
 	}
-	outageEnded := !listing.OutageEnd.Equal(s.outageEnd)
-	if outageEnded {
-		s.outageEnd, s.expired = listing.OutageEnd, map[string]bool{}
-	}
-	graceLeft := reregistrationGrace - now.Sub(s.outageEnd)
 	recheckAfter := time.Duration(0)
+	if len(s.departures.outdated) > 0 {
+		recheckAfter = graceLeft
+	}
 	for key := range s.versions {
 		if _, present := listing.Objects[key]; present {
 			delete(s.expired, key)
@@ -224,6 +246,9 @@
 			recheckAfter = graceLeft
 			continue
 		}
+		if name, known := s.names[key]; known {
+			s.departures.record(now, key, s.versions[key], s.entries[name].Incarnation)
+		}
 		s.remove(key)
 	}
 	return recheckAfter
@@ -231,6 +256,7 @@
 
 func (s *entrySet) remove(key string) {
 	delete(s.expired, key)
+	delete(s.departures.outdated, key)
 	delete(s.versions, key)
 	if name, known := s.names[key]; known {
 		delete(s.names, key)
