follower, archivist: the first state of a store isn't taken for a whole one

Cause: a daemon concludes that only one version began streams from entries and lists as of a time since which its replica is unbroken. After a restore that time lies in the future only if the process has seen the era change; in one that starts it was its first confirmation. Evidence: the joined take-ups come before the new version's entries are written again, no gateway logs object-api-restored, and neither half of the disruption joins anything.

Change: a process that starts in a named era concludes nothing from what is missing for the staleness bound and two seconds, unless the list of versions says that it is complete in this era. A daemon writes that once the time has passed for it, so that a kill of all daemons with a sound store costs nothing. A take-up that waits for this is told to come back when it is known.

--- a/archivist/archivist.go
+++ b/archivist/archivist.go
@@ -90,6 +90,9 @@
 	Builds []namer.Build `json:"builds"`
 	// Settled are those of Builds that all daemons know, or know not to know. A daemon that starts needn't wait for this.
 	Settled []namer.Build `json:"settled,omitempty"`
+	// CompleteIn is the era of the object API in which nothing was missing from the list and from the endpoints any more that
+	// the restore before it had lost. A list that was restored from a backup has an earlier one.
+	CompleteIn storer.Era `json:"complete-in,omitempty"`
 }
 
 func (a *Archivist) init() {
@@ -118,6 +121,19 @@
 	return a.lists[service]
 }
 
+// CompleteIn reports whether all lists that have been read were complete in an era of the object API.
+func (a *Archivist) CompleteIn(era storer.Era) bool {
+	a.init()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, list := range a.lists {
+		if list.CompleteIn != era {
+			return false
+		}
+	}
+	return len(a.lists) > 0
+}
+
 // Generation returns the number of changes of what Listed returns, and an instant since which all lists have been read.
 func (a *Archivist) Generation() (generation uint64, read timekeeper.Instant) {
 	a.init()
@@ -160,17 +176,21 @@
 			return ctx.Err()
 		case <-changed:
 		case <-check.C:
-		case <-a.firstCheck():
+		case <-a.nextCheck():
 		}
 	}
 }
 
-// firstCheck returns a channel that delivers soon while the services aren't known: no stream begins before their lists are.
-func (a *Archivist) firstCheck() <-chan time.Time {
-	if services, _ := a.Services(); services != nil {
-		return nil
+// nextCheck returns a channel that delivers soon while the services aren't known, since no stream begins before their lists
+// are; and as soon as all that a restore of the object API has lost has been written again.
+func (a *Archivist) nextCheck() <-chan time.Time {
+	if services, _ := a.Services(); services == nil {
+		return time.After(startPeriod)
 	}
-	return time.After(startPeriod)
+	if left := a.Confirmation().SettledAt.Sub(a.Clock()); left > 0 {
+		return time.After(left)
+	}
+	return nil
 }
 
 // update compares the lists with the services and writes those that differ.
@@ -191,11 +211,16 @@
 		// A store that was restored from a backup may have lost lists. During a gap in what this daemon knows, builds may have
 		// come, begun streams and gone.
 		reread := era > a.era || (list.read < confirmation.UnbrokenSince && instant >= confirmation.UnbrokenSince)
-		if !reread && list.Builds != nil && covers(list.Builds, builds.Known(now)) && !(a.removable(now, list, builds) && a.Writes()) &&
+		complete := confirmation.Known && instant >= confirmation.SettledAt
+		if !reread && (!complete || list.CompleteIn >= era) && list.Builds != nil && covers(list.Builds, builds.Known(now)) && !(a.removable(now, list, builds) && a.Writes()) &&
 			slices.Equal(list.Settled, a.settled(now, list.list, builds)) {
 			continue
 		}
-		if err := a.write(ctx, now, name, builds); err != nil {
+		completeIn := storer.Era(0)
+		if complete {
+			completeIn = era
+		}
+		if err := a.write(ctx, now, name, builds, completeIn); err != nil {
 			failed = errors.Wrapf(err, "list builds of service %q", name)
 		}
 	}
@@ -218,8 +243,9 @@
 	return !slices.ContainsFunc(all, func(b namer.Build) bool { return !slices.Contains(list, b) })
 }
 
-// write reads a list and writes it again if it lacks builds, or has some that can be removed.
-func (a *Archivist) write(ctx context.Context, now namer.Seconds, name namer.Service, builds *historian.Builds) error {
+// write reads a list and writes it again if it lacks builds, has some that can be removed, or is the first one that is complete
+// in an era. completeIn is that era, or 0 if this daemon doesn't know whether the list is complete.
+func (a *Archivist) write(ctx context.Context, now namer.Seconds, name namer.Service, builds *historian.Builds, completeIn storer.Era) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	for waited := a.Writes(); ; waited = true {
@@ -228,13 +254,13 @@
 		if err != nil {
 			return err
 		}
-		wanted := list{Builds: builds.Known(now), Settled: listed.Settled}
+		wanted := list{Builds: builds.Known(now), Settled: listed.Settled, CompleteIn: max(listed.CompleteIn, completeIn)}
 		before := a.published(name)
 		if before.version != version || !a.removable(now, before, builds) || !a.Writes() {
 			wanted.Builds = union(wanted.Builds, listed.Builds)
 		}
 		wanted.Settled = a.settled(now, wanted, builds)
-		if slices.Equal(wanted.Builds, listed.Builds) && slices.Equal(wanted.Settled, listed.Settled) && version != 0 {
+		if slices.Equal(wanted.Builds, listed.Builds) && slices.Equal(wanted.Settled, listed.Settled) && wanted.CompleteIn == listed.CompleteIn && version != 0 {
 			a.publish(name, publishedList{listed, version, read})
 			return nil
 		}
@@ -253,7 +279,7 @@
 		if err != nil {
 			return err
 		}
-		a.Log.Info().Str("service", string(name)).Int("builds", len(wanted.Builds)).Int("settled", len(wanted.Settled)).Msg("builds-listed")
+		a.Log.Info().Str("service", string(name)).Int("builds", len(wanted.Builds)).Int("settled", len(wanted.Settled)).Uint64("complete-in", uint64(wanted.CompleteIn)).Msg("builds-listed")
 		a.publish(name, publishedList{wanted, written.Version, read})
 		return nil
 	}
@@ -299,7 +325,10 @@
 		a.Log.Warn().Err(err).Str("service", string(name)).Msg("builds-refused") // it is replaced
 		return list{}, object.Version, nil
 	}
-	return list{union(found.Builds, nil), union(found.Settled, nil)}, object.Version, nil
+	if found.CompleteIn > object.Version.Era() {
+		found.CompleteIn = 0 // of another writer
+	}
+	return list{union(found.Builds, nil), union(found.Settled, nil), found.CompleteIn}, object.Version, nil
 }
 
 func (a *Archivist) publish(name namer.Service, list publishedList) {
@@ -307,7 +336,7 @@
 	defer a.mu.Unlock()
 	before := a.lists[name]
 	a.lists[name] = list
-	if before.Builds != nil && slices.Equal(before.Builds, list.Builds) && slices.Equal(before.Settled, list.Settled) {
+	if before.Builds != nil && slices.Equal(before.Builds, list.Builds) && slices.Equal(before.Settled, list.Settled) && before.CompleteIn == list.CompleteIn {
 		return
 	}
 	a.generation++
--- a/assembler/gateway_builds_test.go
+++ b/assembler/gateway_builds_test.go
@@ -231,58 +231,18 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newVersionedSite(t, c.versions...)
-			var settings []*loader.GatewaySettings
-			var processes []*exec.Cmd
-			for _, name := range []string{"g-0", "g-1", "g-2"} {
-				settings = append(settings, s.newSettings(name))
-				processes = append(processes, s.startProcess(settings[len(settings)-1]))
-			}
+			f := s.startFleet("g-0", "g-1", "g-2")
 			time.Sleep(settling)
-			for _, server := range s.servers {
-				server.SetPace(time.Second)
-			}
-			const clients = 24
-			taken := make([]*taker, clients)
-			var wg sync.WaitGroup
-			for i := range clients {
-				wg.Go(func() { taken[i], _ = s.begin(settings[i%3].Callers.String()) })
-			}
-			wg.Wait()
-			time.Sleep(500 * time.Millisecond) // the streams that began in the last second may not have been kept
-			for _, p := range processes {
-				p.Process.Kill()
-			}
-			for _, p := range processes {
-				p.Wait()
-			}
+			taken := s.beginMany(f, 24)
+			f.kill()
 			if c.oldLeaves {
 				for _, server := range s.servers[:2] {
 					is.NoErr(server.Remove())
 				}
 			}
-			for _, server := range s.servers {
-				server.SetPace(5 * time.Millisecond)
-			}
-			for i, each := range settings {
-				processes[i] = s.startProcess(each)
-			}
-			begun, wentOn, joined := 0, 0, 0
-			for i, stream := range taken {
-				if stream == nil {
-					continue
-				}
-				begun++
-				status := s.takeUp(stream, settings[(i+1)%3].Callers.String(), stream.id)
-				is.True(status == http.StatusOK || status == http.StatusServiceUnavailable)
-				if status == http.StatusOK {
-					wentOn++
-				}
-				if len(s.writers(stream.text)) > 1 {
-					joined++
-				}
-			}
-			t.Logf("%d of %d streams went on", wentOn, begun)
-			is.True(begun >= clients/2)
+			f.restart()
+			begun, wentOn, joined := s.takeUpAll(f, taken)
+			is.True(begun >= len(taken)/2)
 			is.Equal(joined, 0)
 			if !c.oldLeaves {
 				is.True(2*wentOn >= begun) // LOST
@@ -290,3 +250,119 @@
 		})
 	}
 }
+
+// gatewayFleet is a set of gateways, each a process of its own.
+type gatewayFleet struct {
+	site      *versionedSite
+	settings  []*loader.GatewaySettings
+	processes []*exec.Cmd
+}
+
+func (s *versionedSite) startFleet(names ...string) *gatewayFleet {
+	f := &gatewayFleet{site: s}
+	for _, name := range names {
+		f.settings = append(f.settings, s.newSettings(name))
+		f.processes = append(f.processes, s.startProcess(f.settings[len(f.settings)-1]))
+	}
+	return f
+}
+
+// kill kills all gateways at once.
+func (f *gatewayFleet) kill() {
+	for _, p := range f.processes {
+		p.Process.Kill()
+	}
+	for _, p := range f.processes {
+		p.Wait()
+	}
+}
+
+// restart starts all gateways again. The servers are fast from then on.
+func (f *gatewayFleet) restart() {
+	for _, server := range f.site.servers {
+		server.SetPace(5 * time.Millisecond)
+	}
+	for i, each := range f.settings {
+		f.processes[i] = f.site.startProcess(each)
+	}
+}
+
+// beginMany begins streams at all gateways, which go on slowly for half a second at least: the streams that began in the last
+// second may not have been kept.
+func (s *versionedSite) beginMany(f *gatewayFleet, clients int) []*taker {
+	for _, server := range s.servers {
+		server.SetPace(time.Second)
+	}
+	taken := make([]*taker, clients)
+	var wg sync.WaitGroup
+	for i := range clients {
+		wg.Go(func() { taken[i], _ = s.begin(f.settings[i%len(f.settings)].Callers.String()) })
+	}
+	wg.Wait()
+	time.Sleep(500 * time.Millisecond)
+	return taken
+}
+
+// takeUpAll takes each stream up at another gateway, and counts those that had begun, go on, and hold two versions.
+func (s *versionedSite) takeUpAll(f *gatewayFleet, taken []*taker) (begun, wentOn, joined int) {
+	for i, stream := range taken {
+		if stream == nil {
+			continue
+		}
+		begun++
+		status := s.takeUp(stream, f.settings[(i+1)%len(f.settings)].Callers.String(), stream.id)
+		is.New(s.t).True(status == http.StatusOK || status == http.StatusServiceUnavailable)
+		if status == http.StatusOK {
+			wentOn++
+		}
+		if len(s.writers(stream.text)) > 1 {
+			joined++
+		}
+	}
+	s.t.Logf("%d of %d streams went on", wentOn, begun)
+	return begun, wentOn, joined
+}
+
+// restoredSettling is the time after a restore of the store, or the start of all gateways, after which nothing that the restore
+// has lost is missing any more.
+const restoredSettling = 5 * time.Second
+
+// Guards against streams that are joined from two software versions when all gateways and the store lose power together, and
+// the store comes back from a copy without one of the versions (review/8); and against streams that don't go on after a kill of
+// all gateways because the store was restored once, long before.
+func TestTakeUpAfterLossOfPower(t *testing.T) {
+	t.Run("the copy lacks a version", func(t *testing.T) {
+		is := is.New(t)
+		s := newVersionedSite(t, "v1", "v1")
+		f := s.startFleet("g-0", "g-1", "g-2")
+		time.Sleep(settling)
+		backup := s.Store.Backup()
+		for _, id := range []string{"i-2", "i-3"} {
+			server, err := s.StartVersion(id, platformtest.ModelService, "decode", "v2")
+			is.NoErr(err)
+			t.Cleanup(server.Crash)
+			s.servers = append(s.servers, server)
+		}
+		time.Sleep(settling)
+		taken := s.beginMany(f, 24)
+		f.kill()
+		s.Store.Restore(backup)
+		f.restart()
+		begun, _, joined := s.takeUpAll(f, taken)
+		is.True(begun >= len(taken)/2)
+		is.Equal(joined, 0)
+	})
+	t.Run("the store was restored long before", func(t *testing.T) {
+		is := is.New(t)
+		s := newVersionedSite(t, "v1", "v1", "v1", "v1")
+		s.Store.Restore(s.Store.Backup())
+		f := s.startFleet("g-0", "g-1", "g-2")
+		time.Sleep(restoredSettling)
+		taken := s.beginMany(f, 24)
+		f.kill()
+		f.restart()
+		begun, wentOn, _ := s.takeUpAll(f, taken)
+		is.True(begun >= len(taken)/2)
+		is.True(10*wentOn >= 9*begun)
+	})
+}
--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -143,8 +143,12 @@
 	if !replica.Known || applied != replica.Changes || built == nil || built.entries != entries || built.lists != lists {
 		return decider.Confirmation{} // the core lacks a change
 	}
+	since := replica.UnbrokenSince
+	if listing := f.entries.Listing(); !f.archivist.CompleteIn(listing.Version.Era()) {
+		since = max(since, replica.SettledAt)
+	}
 	return decider.Confirmation{
-		Known: true, Generation: built.fleet, Age: instant.Sub(replica.At), Unbroken: instant.Sub(replica.UnbrokenSince),
+		Known: true, Generation: built.fleet, Age: instant.Sub(replica.At), Unbroken: instant.Sub(since),
 		Gaps: replica.Gaps, Gap: replica.Gap, ListAge: instant.Sub(read),
 	}
 }
--- a/follower/confirmation.go
+++ b/follower/confirmation.go
@@ -16,9 +16,13 @@
 	At    timekeeper.Instant
 	Known bool
 	// UnbrokenSince is the instant since which the replica has been confirmed again and again, so that an object that
-	// existed for three quarters of the staleness bound was seen. It is in the future after a restore of the store, until its writers have written again what
-	// the store has lost.
+	// existed for three quarters of the staleness bound was seen. It is in the future after a restore of the store that this
+	// process has noticed, until its writers have written again what the store has lost.
 	UnbrokenSince timekeeper.Instant
+	// SettledAt is the instant from which nothing is missing any more that the last restore of the store has lost, for all that
+	// this process knows: the store may have been restored a moment before the process has read it for the first time. It is 0 if
+	// the store names no era, and was not restored.
+	SettledAt timekeeper.Instant
 	// Gaps counts the gaps, and Gap is the time between the two confirmations around the last one.
 	Gaps uint64
 	Gap  time.Duration
@@ -58,6 +62,10 @@
 		switch {
 		case !c.Known:
 			c.UnbrokenSince = at
+			if era := f.state.version.Era(); era > 0 {
+				c.SettledAt = max(c.SettledAt, f.settleTime())
+				f.Log.Info().Str("prefix", f.Prefix).Uint64("era", uint64(era)).Dur("settles-in", c.SettledAt.Sub(f.clock())).Msg("object-api-perhaps-restored")
+			}
 		case gap > f.boundFraction(gapFraction):
 			c.UnbrokenSince, c.Gap = max(c.UnbrokenSince, at), gap
 			c.Gaps++
@@ -65,10 +73,16 @@
 		c.At, c.Known = max(c.At, at), true
 	}
 	if restored {
-		f.confirmation.UnbrokenSince = f.clock().Add(f.boundFraction(1) + restoreGrace)
+		f.confirmation.SettledAt = f.settleTime()
+		f.confirmation.UnbrokenSince = f.confirmation.SettledAt
 	}
 }
 
+// settleTime returns the instant from which nothing is missing any more if the store has been restored by now.
+func (f *Follower) settleTime() timekeeper.Instant {
+	return f.clock().Add(f.boundFraction(1) + restoreGrace)
+}
+
 // restoreGrace is the time, beyond the staleness bound, after which the writers of what a restored store has lost have
 // written it again, and the lists that others make of it.
 const restoreGrace = 2 * time.Second
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -9,6 +9,7 @@
 
 	"apricotspool/follower"
 	"apricotspool/imitator"
+	"apricotspool/timekeeper"
 )
 
 // startPair runs a reader and a daemon that replicates from it, each with its own path to one store.
@@ -79,3 +80,33 @@
 		})
 	}
 }
+
+// Guards against a process that starts just after a restore of the store and takes the first state that it reads for a whole
+// one (review/8), and against one that waits although the store was never restored.
+func TestFirstStateOfRestoredStoreIsNotSettled(t *testing.T) {
+	for name, restored := range map[string]bool{"restored": true, "never restored": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				begin := time.Now()
+				clock := func() timekeeper.Instant { return timekeeper.Instant(time.Since(begin) + time.Hour) }
+				store := newFaultyStore()
+				store.put(t, "a")
+				if restored {
+					store.Restore(store.Backup())
+				}
+				f := &follower.Follower{Source: store, Prefix: prefix, Clock: clock}
+				run(t, f)
+				time.Sleep(time.Second)
+				c := f.Confirmation()
+				is.True(c.Known && c.UnbrokenSince <= clock())
+				is.Equal(c.SettledAt > clock(), restored)
+				time.Sleep(stalenessBound + 2*time.Second)
+				is.True(f.Confirmation().SettledAt <= clock())
+				store.Restore(store.Backup())
+				time.Sleep(time.Second)
+				is.True(f.Confirmation().SettledAt > clock())
+			})
+		})
+	}
+}
--- a/placer/builds_test.go
+++ b/placer/builds_test.go
@@ -88,3 +88,19 @@
 		is.Equal(d.sentTo.Build, namer.Build("v1"))
 	}
 }
+
+// Guards against a stream of another build that goes on at the only one in service before a restored object API lists all builds
+// again (review/8), and against a caller that is told to come back before that is known.
+func TestUnknownStreamWaitsForRestoredStore(t *testing.T) {
+	is := is.New(t)
+	d := newOriginDaemons(t, "h-1")
+	d.settles = 24 * time.Second
+	for _, at := range []time.Duration{20 * time.Second, 23 * time.Second} {
+		d.send(at, "h-1", 7, true)
+		is.Equal(d.refused, classifier.StreamUnknown)
+		left := d.settles - at
+		is.True(d.retry >= left*3/4 && d.retry <= left*5/4) // spread by a quarter
+	}
+	d.send(25*time.Second, "h-1", 7, true)
+	is.Equal(d.sentTo.Build, namer.Build("v1"))
+}
--- a/placer/origin.go
+++ b/placer/origin.go
@@ -280,7 +280,7 @@
 	}
 	holders := c.originHolders(q.Stream)
 	if q.Stream == 0 || (len(holders) == 0 && !c.learning()) {
-		c.refuse(now, q, classifier.StreamUnknown, noEndpointRetry)
+		c.refuse(now, q, classifier.StreamUnknown, c.unknownRetry(now, q))
 		return false
 	}
 	q.originAskedAt, q.originAnswers = now, len(holders)
@@ -371,6 +371,16 @@
 
 func (c *Core) refuseUnknown(now namer.Seconds, q *request) {
 	if c.requests[q.ID] == q {
-		c.refuse(now, q, classifier.StreamUnknown, noEndpointRetry)
+		c.refuse(now, q, classifier.StreamUnknown, c.unknownRetry(now, q))
 	}
 }
+
+// unknownRetry returns the retry delay of a request whose stream isn't known. If one build serves, its streams are known as soon
+// as a restored object API can't lack another one any more.
+func (c *Core) unknownRetry(now namer.Seconds, q *request) time.Duration {
+	if q.pool == nil || !c.confirmation.Known || len(q.pool.builds.Known(now)) != 1 {
+		return noEndpointRetry
+	}
+	unbroken := namer.SecondsOf(c.confirmation.Unbroken) + now - c.confirmedAt
+	return max(noEndpointRetry, (-unbroken).Duration())
+}
--- a/placer/origin_test.go
+++ b/placer/origin_test.go
@@ -569,6 +569,7 @@
 	sentTo  decider.EndpointView // the engine of the last request
 	retry   time.Duration        // Retry-After of the last refusal
 	age     time.Duration        // of the fleet at all daemons
+	settles time.Duration        // when nothing is missing any more that a restore of the object API has lost
 }
 
 func newOriginDaemons(t *testing.T, hosts ...namer.Host) *originDaemons {
@@ -591,8 +592,11 @@
 	d.configure(at)
 }
 
-// confirmation is that of a fleet that has been followed from the beginning.
+// confirmation is that of a fleet that has been followed from the beginning, or since it has settled.
 func (d *originDaemons) confirmation(at time.Duration) decider.Confirmation {
+	if d.settles > 0 {
+		return decider.Confirmation{Known: true, Age: d.age, Unbroken: at - d.settles}
+	}
 	return decider.Confirmation{Known: true, Age: d.age, Unbroken: at + time.Second}
 }
 
