relayer, accountant: answers of servers give way to requests of others

Cause: the received part of an event was entered into the account without asking for room, answers could take all of it, error bodies were read before they were entered, and a response's header was bounded by bytes and not by lines. Evidence: the account is over its limit when connections of others are closed; a header of 60 kB in short lines takes over 1 MB.

Change: answers take a quarter of what is held for callers at most; what must be held as a whole asks before it grows and has broken off without room. No more than 256 lines of a header are read on. An event is searched once for its end.

TestAnswersLeaveRoom, TestLongEventsStayWithinMemory and TestHeaderLinesAreLimited failed before.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -42,6 +42,10 @@
 // progressBytes is how many bytes a holding receives until it counts as progress: a byte now and then doesn't.
 const progressBytes = 16 << 10
 
+// answerShare is the part of the limit that answers can take. An answer that grows without end must leave room for the requests
+// of others, so it gives way first.
+const answerShare = 4
+
 // sentShare is the part of the limit that only requests which have been sent can take, for their answers.
 const sentShare = 8
 
@@ -103,7 +107,7 @@
 
 // Take adds bytes to a holding if the limit allows it, and reports whether it did.
 func (a *Account) Take(h *Holding, kind Kind, bytes int64) bool {
-	if h.released || bytes > a.room(h) {
+	if h.released || bytes > a.room(h) || (kind == Answer && a.Limit > 0 && a.held[Answer]+bytes > a.Limit/answerShare) {
 		return false
 	}
 	a.Force(h, kind, bytes)
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -158,3 +158,17 @@
 	is.Equal(a.Free(500, at(10)), []*accountant.Holding{stalled})
 	is.Equal(len(a.Free(500, at(10))), 0)
 }
+
+// Guards against answers that grow without end and take the room that other requests need.
+func TestAnswersLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	a := &accountant.Account{Limit: 1000}
+	growing := held(a, accountant.Sent, 0, 0, at(0))
+	for a.Take(growing, accountant.Answer, 10) {
+		continue
+	}
+	is.Equal(a.Held(accountant.Answer), int64(250))
+	other := held(a, accountant.Reading, 9, 0, at(0))
+	is.True(a.Take(other, accountant.Body, 600))
+	is.True(a.Take(growing, accountant.Request, 100)) // what isn't an answer is bounded by the limit alone
+}
--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -27,6 +27,9 @@
 	// idleTimeoutMargin is subtracted from the idle timeout that an endpoint announces, so that the endpoint
 	// does not close a connection while a call is in transit.
 	idleTimeoutMargin = 500 * time.Millisecond
+	// maxHeaderLines is the number of lines of a response header after which no more of it is read: the shortest lines take
+	// many times their size.
+	maxHeaderLines = 256
 	// maxMismatched bounds the responses to other calls that are skipped while waiting for one response.
 	maxMismatched = 4
 	// maxInformational bounds the informational responses before a response.
@@ -65,6 +68,7 @@
 type responseLimiter struct {
 	reader       io.Reader
 	header       int  // bytes left for the header
+	lines        int  // lines left for the header
 	parsesHeader bool // a header is being parsed
 	response     int64
 }
@@ -73,7 +77,7 @@
 	if l.response <= 0 {
 		return 0, ErrResponseTooLarge
 	}
-	if l.parsesHeader && l.header <= 0 {
+	if l.parsesHeader && (l.header <= 0 || l.lines < 0) { // all that was read belongs to the header, since it has no end
 		return 0, errors.Wrap(ErrResponseTooLarge, "header")
 	}
 	limit := min(int64(len(p)), l.response)
@@ -84,6 +88,7 @@
 	l.response -= int64(n)
 	if l.parsesHeader {
 		l.header -= n
+		l.lines -= bytes.Count(p[:n], []byte("\n"))
 	}
 	return n, err
 }
@@ -153,7 +158,7 @@
 	request := &http.Request{Method: call.Method}
 	n.limiter.response = c.maxResponse()
 	for skipped, informational := 0, 0; ; {
-		n.limiter.header, n.limiter.parsesHeader = c.maxHeader(), true
+		n.limiter.header, n.limiter.lines, n.limiter.parsesHeader = c.maxHeader(), maxHeaderLines, true
 		response, err := http.ReadResponse(n.reader, request)
 		n.limiter.parsesHeader = false
 		if err != nil {
--- a/forwarder/conn_test.go
+++ b/forwarder/conn_test.go
@@ -343,6 +343,7 @@
 		"no answer at all":       {"", "\x00\xff~"},
 		"empty lines":            {"", "\r\n"},
 		"header names":           {head, "X-A: b\r\n"},
+		"short lines":            {head, "a:\r\n"},
 		"one header":             {head + "X-A: ", "b"},
 		"informational answers":  {"", "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n"},
 		"chunk size":             {head + "Transfer-Encoding: chunked\r\n\r\n", "0"},
@@ -370,6 +371,32 @@
 	}
 }
 
+// Guards against a header of many short lines, which takes many times its size, and against refusing a body of many lines with
+// a usual header.
+func TestHeaderLinesAreLimited(t *testing.T) {
+	many := &strings.Builder{}
+	for n := range 4000 {
+		fmt.Fprintf(many, "%x: b\r\n", n)
+	}
+	for name, c := range map[string]struct {
+		response string
+		passes   bool
+	}{
+		"header of many lines": {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + many.String() + "\r\n", false},
+		"body of many lines":   {"HTTP/1.1 200 OK\r\nContent-Length: 3000\r\n\r\n" + strings.Repeat("\n", 3000), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := listen(t, func(_ int, in *bufio.Reader, out net.Conn) {
+				request(in)
+				io.WriteString(out, c.response)
+			})
+			_, err := send(t, &forwarder.Client{}, e.target(), call("1"))
+			is.Equal(err == nil, c.passes)
+		})
+	}
+}
+
 // Guards against a body without end that is read until memory or time runs out.
 func TestEndlessBodyIsLimited(t *testing.T) {
 	for name, header := range map[string]string{
--- a/inspector/budget.go
+++ b/inspector/budget.go
@@ -162,6 +162,9 @@
 		return true
 	}
 	if c.holding.Released() || c.holding.Stage() == accountant.Sent {
+		if kind == accountant.Answer {
+			b.refused(kind)
+		}
 		return false // a request that has been sent goes on without the room
 	}
 	since := time.Now()
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -4,6 +4,8 @@
 	"io"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"apricotspool/accountant"
 	"apricotspool/forwarder"
 )
@@ -14,6 +16,8 @@
 	maxBufferedBytes = 256 << 10
 	// minBufferedBytes is the part of a response that is always buffered. Each request has the room for it.
 	minBufferedBytes = 16 << 10
+	// initialBufferBytes is the size of a buffer that grows.
+	initialBufferBytes = 4 << 10
 	// writeGrace is the time after a request's deadline in which a caller can still read the rest of its answer. A caller
 	// that doesn't read keeps the memory of its request until then.
 	writeGrace = 5 * time.Second
@@ -38,29 +42,68 @@
 		case err == io.EOF:
 			return body, false, nil
 		case err != nil:
-			return body, false, err
+			x.returnAnswer(body)
+			return nil, false, err
 		case len(body) < cap(body):
 			continue
-		case cap(body) >= maxBufferedBytes || !x.connection.Reserve(accountant.Answer, 2*int64(cap(body))):
+		}
+		grown, ok := x.growAnswer(body, maxBufferedBytes)
+		if !ok {
 			return body, true, nil
 		}
-		grown := make([]byte, len(body), min(2*cap(body), maxBufferedBytes))
-		copy(grown, body)
-		x.connection.Return(accountant.Answer, int64(cap(body)))
 		body = grown
 	}
 }
 
-// unreadBytes is what the kernel may receive of an answer while its caller reads slowly.
-const unreadBytes = 64 << 10
+// errAnswerTooLong says that an answer exceeds its limit, or the memory that is left for it.
+var errAnswerTooLong = errors.New("answer exceeds the size limit, or the memory for answers")
+
+// readWhole reads a response that is needed as a whole and has fewer bytes than a limit.
+func (x *exchange) readWhole(response *forwarder.Response, limit int) ([]byte, error) {
+	body := make([]byte, 0, min(initialBufferBytes, limit))
+	for {
+		n, err := response.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			x.returnAnswer(body)
+			return nil, err
+		case len(body) < cap(body):
+			continue
+		}
+		grown, ok := x.growAnswer(body, limit)
+		if !ok {
+			x.returnAnswer(body)
+			return nil, errors.Wrapf(errAnswerTooLong, "after %d bytes", len(body))
+		}
+		body = grown
+	}
+}
 
-// holdPartial enters the received part of an event that has grown into the account.
-func (x *exchange) holdPartial(before int) {
-	if after := cap(x.stream.partial); after > before && after > minBufferedBytes {
-		x.connection.Force(accountant.Answer, int64(after-before))
+// growAnswer returns a larger buffer with the same content, or false if the buffer has reached a limit or there is no memory.
+func (x *exchange) growAnswer(buffer []byte, limit int) ([]byte, bool) {
+	size := min(max(2*cap(buffer), initialBufferBytes), limit)
+	if size <= cap(buffer) || (size > minBufferedBytes && !x.connection.Reserve(accountant.Answer, int64(size))) {
+		return buffer, false
 	}
+	grown := make([]byte, len(buffer), size)
+	copy(grown, buffer)
+	x.returnAnswer(buffer)
+	return grown, true
 }
 
+// returnAnswer gives back the memory of a buffer that isn't used any more.
+func (x *exchange) returnAnswer(buffer []byte) {
+	if cap(buffer) > minBufferedBytes {
+		x.connection.Return(accountant.Answer, int64(cap(buffer)))
+	}
+}
+
+// unreadBytes is what the kernel may receive of an answer while its caller reads slowly.
+const unreadBytes = 64 << 10
+
 // boundWrites bounds the writing of the answer, so that a caller that doesn't read ends.
 func (x *exchange) boundWrites() {
 	deadline := x.deadline
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -191,17 +191,13 @@
 
 // handleErrorStatus sends an endpoint's error response to the caller, unless the request can be retried.
 func (x *exchange) handleErrorStatus(ctx context.Context, action decider.Action, response *forwarder.Response) bool {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	body, err := x.readWhole(response, maxBufferedBytes)
 	if err != nil {
-		return x.handleBrokenResponse(ctx, action, err)
-	}
-	if len(body) == maxBufferedBytes {
-		return x.handleBrokenResponse(ctx, action, errors.Errorf("status %d with a body of %d bytes or more", response.Status, len(body)))
+		return x.handleBrokenResponse(ctx, action, errors.Wrapf(err, "status %d", response.Status))
 	}
 	if x.headerSent {
 		return x.handleBrokenResponse(ctx, action, errors.Errorf("status %d", response.Status))
 	}
-	x.connection.Force(accountant.Answer, int64(cap(body)))
 	x.fallback = &bufferedResponse{response.Status, response.Header, body}
 	if response.Status < 500 {
 		x.reportFinished(action, 0)
@@ -331,7 +327,8 @@
 		defer response.Body.Close()
 		verdict = x.classify(action, sentAt, response)
 		var body []byte
-		if body, err = io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes)); err == nil {
+		if body, err = x.readWhole(response, maxBufferedBytes); err == nil {
+			x.returnAnswer(body)
 			x.handle, err = x.relayer.Dialect.DecodeHandle(target.Address, response.Status, body)
 			x.handle.Owner = action.Endpoint
 		}
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -44,14 +44,15 @@
 func (x *exchange) relayStream(ctx context.Context, wd *watchdog, action decider.Action, response *forwarder.Response) bool {
 	x.stream.partial = x.stream.partial[:0] // the next attempt sends a partial event again
 	flusher := http.NewResponseController(x.w)
-	chunk := make([]byte, 4<<10)
 	for {
-		n, err := response.Body.Read(chunk)
+		if !x.growPartial() {
+			return x.handleBrokenResponse(ctx, action, errors.Wrapf(errAnswerTooLong, "event has no end after %d bytes", len(x.stream.partial)))
+		}
+		received := len(x.stream.partial)
+		n, err := response.Body.Read(x.stream.partial[received:cap(x.stream.partial)])
 		if n > 0 {
-			before := cap(x.stream.partial)
-			x.stream.partial = append(x.stream.partial, chunk[:n]...)
-			x.holdPartial(before)
-			invalid, err := x.passEvents(wd, action, response, flusher)
+			x.stream.partial = x.stream.partial[:received+n]
+			invalid, err := x.passEvents(wd, action, response, flusher, received)
 			if err != nil {
 				x.noticeLeft(leftWhileWriting)
 				x.abortResponse(classifier.CallerDisconnected)
@@ -70,12 +71,26 @@
 			return x.handleBrokenResponse(ctx, action, errors.New("stream ended within an event, or without continuing"))
 		case err != nil:
 			return x.handleBrokenResponse(ctx, action, err)
-		case len(x.stream.partial) > maxEventBytes:
-			return x.handleBrokenResponse(ctx, action, errors.New("event exceeds the size limit"))
 		}
 	}
 }
 
+// growPartial makes room for more of an event. It reports false if the event has reached its limit or there is no memory.
+func (x *exchange) growPartial() bool {
+	s := &x.stream
+	if cap(s.partial) > minBufferedBytes && len(s.partial) < initialBufferBytes { // a long event has ended
+		short := append(make([]byte, 0, initialBufferBytes), s.partial...)
+		x.returnAnswer(s.partial)
+		s.partial = short
+	}
+	if len(s.partial) < cap(s.partial) {
+		return true
+	}
+	grown, ok := x.growAnswer(s.partial, maxEventBytes)
+	s.partial = grown
+	return ok
+}
+
 // mayEnd reports whether the stream can be complete when an attempt ends between two events. An attempt that has sent no
 // event has not shown that it continues the stream, so that only the length of the output can tell.
 func (x *exchange) mayEnd(action decider.Action) bool {
@@ -87,16 +102,18 @@
 	return x.headerSent && x.call.LastEvent == "" && x.call.MaxOutput > 0 && x.stream.events*x.eventTokens >= x.call.MaxOutput
 }
 
-// passEvents sends the complete events received so far to the caller. It returns invalid if something was received that
-// doesn't continue the stream; what came before it has been sent.
-func (x *exchange) passEvents(wd *watchdog, action decider.Action, response *forwarder.Response, to *http.ResponseController) (invalid, err error) {
+// passEvents sends the complete events received so far to the caller. The bytes that were searched before hold no end of an event.
+// It returns invalid if something was received that doesn't continue the stream; what came before it has been sent.
+func (x *exchange) passEvents(wd *watchdog, action decider.Action, response *forwarder.Response, to *http.ResponseController, searched int) (invalid, err error) {
 	last, events, count := x.resumeAfter(), x.stream.partial[:0], namer.Tokens(0)
 	rest := x.stream.partial
+	from := max(0, searched-len(eventEnd)+1)
 	for {
-		end := bytes.Index(rest, eventEnd)
+		end := bytes.Index(rest[from:], eventEnd)
 		if end < 0 {
 			break
 		}
+		end, from = from+end, 0
 		event := rest[:end+len(eventEnd)]
 		rest = rest[len(event):]
 		begun := count > 0 || x.stream.started == action.Attempt
--- a/relayer/memory_test.go
+++ b/relayer/memory_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"apricotspool/accountant"
 	"apricotspool/inspector"
 )
 
@@ -97,3 +98,45 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against an event without end that is held beyond the memory for answers, and takes that of other requests; and against
+// memory that isn't given back when a long event has ended.
+func TestLongEventsStayWithinMemory(t *testing.T) {
+	long := "id: 3\ndata: " + strings.Repeat("x", 60<<10)
+	for name, c := range map[string]struct {
+		third  string // event of the first endpoint
+		passes bool
+	}{
+		"long event":        {long + "\n\n", true},
+		"event without end": {strings.Repeat(long, 10), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, dispatchTo("a", "b")...)
+			budget := &inspector.Budget{Bytes: 1 << 20}
+			f.endpoint("a", func(w http.ResponseWriter, r *http.Request) {
+				streamFrom(2, func() {
+					io.WriteString(w, c.third)
+					w.(http.Flusher).Flush()
+					abortConnection()
+				})(w, r)
+			})
+			var heldByLongEvent int64
+			f.endpoint("b", func(w http.ResponseWriter, r *http.Request) {
+				heldByLongEvent = budget.Usage(accountant.Answer)
+				streamFrom(5, func() {})(w, r)
+			})
+			response, body := exchangeOn(is, f.bound(budget), "POST /resumed/ HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n")
+			is.Equal(response.StatusCode, http.StatusOK)
+			third := event(3)
+			if c.passes {
+				third = c.third
+			}
+			is.Equal(body, events(2)+third+event(4)+event(5))
+			is.True(heldByLongEvent <= budget.Bytes/4)
+			for budget.Usage(accountant.Answer) > 0 { // fails by the time-out of the test run
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
