placer: no stream at an endpoint whose process has ended before its entry is newer

Cause: the core learned that the process had ended, ejected the endpoint for 0.3 s and used it again as its old entry said. Evidence: attempt-failed with ended=true at i-1, then attempts there with build v1 that v2 wrote.

Change: such an endpoint takes no stream until its entry is confirmed as of the staleness bound after the end, by when another process would have written one. The daemon that sees the end tells the others. Requests without a build are sent there as before.

--- a/placer/departed.go
+++ b/placer/departed.go
@@ -7,12 +7,16 @@
 	"apricotspool/throttler"
 )
 
-// statements is what an incarnation of an endpoint has said of itself in its responses, and what follows from it. It holds for
+// statements is what an incarnation of an endpoint has shown of itself to this daemon, in its responses and by its end, and what
+// follows from it. It holds for
 // the life of the incarnation, whatever the object API lists: an entry can expire while its endpoint serves, and a store that
 // was restored from a backup lists endpoints again that have left.
 type statements struct {
 	announcedLeaving bool // the endpoint has said that it is leaving
-	limit            throttler.Limit
+	// perhapsReplaced says that the process was seen to have ended at endedAt, and that another one may have taken its place.
+	perhapsReplaced bool
+	endedAt         namer.Seconds
+	limit           throttler.Limit
 	// bucket is used if this daemon is the owner, share if the owner doesn't respond.
 	bucket throttler.Bucket
 	share  throttler.Share
--- a/placer/message.go
+++ b/placer/message.go
@@ -22,6 +22,7 @@
 	Charge          *LimitCharge
 	Origins         *Origins
 	Pace            *PaceNotice
+	ProcessEnd      *ProcessEnd
 }
 
 // Origins tells or asks which builds began streams of a service.
--- a/placer/observe.go
+++ b/placer/observe.go
@@ -110,6 +110,9 @@
 		c.recordEndpointFailure(now, q.endpoint, e.Reason)
 	}
 	c.recordFailedAnswer(now, q, e.Reason)
+	if e.Ended {
+		c.recordProcessEnd(now, q.endpoint)
+	}
 	if e.RetryAfter > 0 {
 		q.endpoint.turnsAwayUntil = max(q.endpoint.turnsAwayUntil, now+namer.SecondsOf(e.RetryAfter))
 	}
--- a/placer/origin.go
+++ b/placer/origin.go
@@ -44,7 +44,13 @@
 // compatible reports whether the request may go on at an endpoint, after the events that the caller has received. Prefill
 // engines write none.
 func (q *request) compatible(e *endpoint) bool {
-	return (q.build == "" && !q.originLost) || e.view.Role == namer.RolePrefill || (e.view.Build == q.build && !q.originLost)
+	switch {
+	case e.view.Role == namer.RolePrefill:
+		return true
+	case q.originLost || (e.perhapsReplaced && q.hasStream()):
+		return false
+	}
+	return q.build == "" || e.view.Build == q.build
 }
 
 // mayBegin reports whether a stream may begin at an endpoint. If no other endpoint can take it, it is refused meanwhile: a
@@ -81,6 +87,7 @@
 		}
 	}
 	c.confirmation, c.confirmedAt = confirmation, now
+	c.confirmProcesses(now)
 }
 
 // only returns the build with which all streams of a pool have begun that callers may take up now, if that is certain.
--- a/placer/origin_test.go
+++ b/placer/origin_test.go
@@ -567,6 +567,7 @@
 	cores   map[namer.Host]*placer.Core
 	refused classifier.Outcome   // of the last request
 	sentTo  decider.EndpointView // the engine of the last request
+	sent    decider.Action       // that sent it there
 	retry   time.Duration        // Retry-After of the last refusal
 	age     time.Duration        // of the fleet at all daemons
 	settles time.Duration        // when nothing is missing any more that a restore of the object API has lost
@@ -626,6 +627,7 @@
 		case decider.ActionRefuse:
 			d.refused, d.retry = a.Outcome, a.RetryAfter
 		case decider.ActionDispatch:
+			d.sent = a
 			for _, e := range d.view.Endpoints {
 				if e.Name == a.Endpoint {
 					d.sentTo = e
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -132,6 +132,8 @@
 		c.receivePace(at, from, message.Pace)
 	case message.Origins != nil:
 		c.receiveOrigins(at, from, message.Origins)
+	case message.ProcessEnd != nil:
+		c.receiveProcessEnd(at, message.ProcessEnd)
 	case message.Quarantine != nil:
 		c.receiveQuarantine(at, from, message.Quarantine)
 	default:
