--- a/archivist/archivist.go
+++ b/archivist/archivist.go
@@ -211,15 +211,13 @@
 		// A store that was restored from a backup may have lost lists. During a gap in what this daemon knows, builds may have
 		// come, begun streams and gone.
 		reread := era > a.era || (list.read < confirmation.UnbrokenSince && instant >= confirmation.UnbrokenSince)
-		complete := confirmation.Known && instant >= confirmation.SettledAt
-		if !reread && (!complete || list.CompleteIn >= era) && list.Builds != nil && covers(list.Builds, builds.Known(now)) && !(a.removable(now, list, builds) && a.Writes()) &&
-			slices.Equal(list.Settled, a.settled(now, list.list, builds)) {
-			continue
-		}
 		completeIn := storer.Era(0)
-		if complete {
+		if confirmation.Known && instant >= confirmation.SettledAt {
 			completeIn = era
 		}
+		if !reread && list.CompleteIn >= completeIn && a.current(now, list, builds) {
+			continue
+		}
 		if err := a.write(ctx, now, name, builds, completeIn); err != nil {
 			failed = errors.Wrapf(err, "list builds of service %q", name)
 		}
@@ -230,6 +228,12 @@
 	return failed
 }
 
+// current reports whether a list has what this daemon would write now.
+func (a *Archivist) current(now namer.Seconds, list publishedList, builds *historian.Builds) bool {
+	return list.Builds != nil && covers(list.Builds, builds.Known(now)) && !(a.removable(now, list, builds) && a.Writes()) &&
+		slices.Equal(list.Settled, a.settled(now, list.list, builds))
+}
+
 // removable reports whether a list has builds whose last stream can't be taken up any more. The endpoints must have been
 // confirmed since it was read: a build may be listed before this daemon knows it.
 func (a *Archivist) removable(now namer.Seconds, list publishedList, builds *historian.Builds) bool {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -99,7 +99,7 @@
 	responded       time.Time // when the object API last responded
 	readerResponded time.Time // when the reader of this daemon last responded
 	readerFailing   bool      // the reader's calls to the object API fail, as of its last reply
-	verify          bool      // whether the object API is out has to be checked by a call of this daemon
+	probeDue        bool      // this daemon has to call the object API, to see whether it is out
 	failing         bool
 	failedAt        time.Time // when failing was set
 	outageEnd       time.Time
@@ -176,13 +176,13 @@
 	return age >= f.boundFraction(staleFraction)
 }
 
-// takeVerify reports whether the object API has to be called, and takes it as done.
-func (f *Follower) takeVerify() bool {
+// takeProbe reports whether a probe of the object API is due, and takes it as done.
+func (f *Follower) takeProbe() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	verify := f.verify
-	f.verify = false
-	return verify
+	due := f.probeDue
+	f.probeDue = false
+	return due
 }
 
 // poll lists all objects: periodically if this daemon is a reader, otherwise whenever its replica is stale, and once when its
@@ -191,7 +191,7 @@
 	period := f.boundFraction(pollFraction)
 	delay := minBackoff
 	for ctx.Err() == nil {
-		if verify := f.takeVerify(); !f.isReader() && !f.stale() && !verify {
+		if probe := f.takeProbe(); !f.isReader() && !f.stale() && !probe {
 			sleep(ctx, checkPeriod)
 			continue
 		}
--- a/follower/sync.go
+++ b/follower/sync.go
@@ -88,7 +88,7 @@
 	defer f.mu.Unlock()
 	f.readerResponded = time.Now()
 	if failing != f.readerFailing {
-		f.readerFailing, f.verify = failing, failing
+		f.readerFailing, f.probeDue = failing, failing
 		f.Log.Info().Str("prefix", f.Prefix).Bool("failing", failing).Msg("reader-state-changed")
 	}
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -96,11 +96,8 @@
 		if listing := r.Source.Listing(); listing != nil {
 			before := r.set.outageEnd
 			recheckAfter := r.set.apply(time.Now(), listing, r.decode)
-			if kept := len(r.set.expired); kept > 0 && !r.set.outageEnd.Equal(before) {
-				r.Log.Info().Int("entries", kept).Time("outage-end", r.set.outageEnd).Msg("missing-entries-kept")
-			}
-			if outdated := len(r.set.departures.outdated); outdated > 0 && !r.set.outageEnd.Equal(before) {
-				r.Log.Info().Int("entries", outdated).Msg("outdated-entries-not-used")
+			if !r.set.outageEnd.Equal(before) {
+				r.logOutage()
 			}
 			maps.DeleteFunc(r.refused, func(key string, _ bool) bool { _, present := listing.Objects[key]; return !present })
 			r.publish(listing.Changes)
@@ -157,6 +154,16 @@
 	r.changed = make(chan struct{})
 }
 
+// logOutage logs the entries that an outage, or a restore of the object API, has made uncertain.
+func (r *Registrar) logOutage() {
+	if kept := len(r.set.expired); kept > 0 {
+		r.Log.Info().Int("entries", kept).Time("outage-end", r.set.outageEnd).Msg("missing-entries-kept")
+	}
+	if outdated := len(r.set.departures.outdated); outdated > 0 {
+		r.Log.Info().Int("entries", outdated).Msg("outdated-entries-not-used")
+	}
+}
+
 // logChanges logs the endpoints that were added, changed or removed.
 func (r *Registrar) logChanges(entries []Entry) {
 	old := map[namer.Endpoint]Entry{}
@@ -204,37 +211,55 @@
 	if outageEnded {
 		s.outageEnd, s.expired = listing.OutageEnd, map[string]bool{}
 	}
-	graceLeft := reregistrationGrace - now.Sub(s.outageEnd)
-	if graceLeft <= 0 {
-		for key := range s.departures.outdated {
-			if _, present := listing.Objects[key]; present {
-				delete(s.versions, key) // the entry is decoded again
-			}
+	graceLeft := max(0, reregistrationGrace-now.Sub(s.outageEnd))
+	if graceLeft == 0 {
+		s.believeOutdated(listing)
+	}
+	s.decodeChanged(now, listing, decode, graceLeft > 0)
+	if s.dropMissing(now, listing, outageEnded, graceLeft > 0) || len(s.departures.outdated) > 0 {
+		return graceLeft
+	}
+	return 0
+}
+
+// believeOutdated has entries that contradicted a departure decoded again: nobody has corrected them.
+func (s *entrySet) believeOutdated(listing *follower.Listing) {
+	for key := range s.departures.outdated {
+		if _, present := listing.Objects[key]; present {
+			delete(s.versions, key)
 		}
-		clear(s.departures.outdated)
 	}
+	clear(s.departures.outdated)
+}
+
+// decodeChanged decodes the entries that have changed. Within the grace after an outage, an entry that undoes a departure isn't
+// believed.
+func (s *entrySet) decodeChanged(now time.Time, listing *follower.Listing, decode func(storer.Object) (Entry, bool), grace bool) {
 	for key, object := range listing.Objects {
 		if s.versions[key] == object.Version {
 			continue
 		}
 		s.remove(key)
 		s.versions[key] = object.Version
-		if entry, ok := decode(object); ok {
-			switch {
-			case graceLeft > 0 && s.departures.contradicts(key, object.Version, entry.Incarnation):
-				entry.Leaving = true
-				s.departures.outdated[key] = true
-			case entry.Leaving:
-				s.departures.record(now, key, object.Version, entry.Incarnation)
-			}
-			s.entries[entry.Name], s.names[key] = entry, entry.Name
+		entry, ok := decode(object)
+		if !ok {
+			continue
 		}
+		switch {
+		case grace && s.departures.contradicts(key, object.Version, entry.Incarnation):
+			entry.Leaving = true
+			s.departures.outdated[key] = true
+		case entry.Leaving:
+			s.departures.record(now, key, object.Version, entry.Incarnation)
+		}
+		s.entries[entry.Name], s.names[key] = entry, entry.Name
 	}
-	recheckAfter := time.Duration(0)
-	if len(s.departures.outdated) > 0 {
-		recheckAfter = graceLeft
-	}
-	for key := range s.versions {
+}
+
+// dropMissing removes the entries that are not listed, except, within the grace, those that may have expired in the outage. It
+// reports whether there are any of these.
+func (s *entrySet) dropMissing(now time.Time, listing *follower.Listing, outageEnded, grace bool) (kept bool) {
+	for key, version := range s.versions {
 		if _, present := listing.Objects[key]; present {
 			delete(s.expired, key)
 			continue
@@ -242,16 +267,16 @@
 		if outageEnded {
 			s.expired[key] = true
 		}
-		if s.expired[key] && graceLeft > 0 {
-			recheckAfter = graceLeft
+		if s.expired[key] && grace {
+			kept = true
 			continue
 		}
 		if name, known := s.names[key]; known {
-			s.departures.record(now, key, s.versions[key], s.entries[name].Incarnation)
+			s.departures.record(now, key, version, s.entries[name].Incarnation)
 		}
 		s.remove(key)
 	}
-	return recheckAfter
+	return kept
 }
 
 func (s *entrySet) remove(key string) {
--- a/relayer/answer.go
+++ b/relayer/answer.go
@@ -34,25 +34,7 @@
 		}
 		return body, false, err
 	}
-	body = make([]byte, 0, minBufferedBytes)
-	for {
-		n, err := response.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF:
-			return body, false, nil
-		case err != nil:
-			x.returnAnswer(body)
-			return nil, false, err
-		case len(body) < cap(body):
-			continue
-		}
-		grown, ok := x.growAnswer(body, maxBufferedBytes)
-		if !ok {
-			return body, true, nil
-		}
-		body = grown
-	}
+	return x.readUpTo(response, make([]byte, 0, minBufferedBytes), maxBufferedBytes)
 }
 
 // errAnswerTooLong says that an answer exceeds its limit, or the memory that is left for it.
@@ -60,25 +42,34 @@
 
 // readWhole reads a response that is needed as a whole and has fewer bytes than a limit.
 func (x *exchange) readWhole(response *forwarder.Response, limit int) ([]byte, error) {
-	body := make([]byte, 0, min(initialBufferBytes, limit))
+	body, more, err := x.readUpTo(response, make([]byte, 0, initialBufferBytes), limit)
+	if more {
+		x.returnAnswer(body)
+		return nil, errors.Wrapf(errAnswerTooLong, "after %d bytes", len(body))
+	}
+	return body, err
+}
+
+// readUpTo reads a response into a buffer, which grows up to a limit, or as far as there is memory. It reports whether more may
+// follow. After an error it returns no body.
+func (x *exchange) readUpTo(response *forwarder.Response, buffer []byte, limit int) (body []byte, more bool, err error) {
 	for {
-		n, err := response.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
+		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
 		switch {
 		case err == io.EOF:
-			return body, nil
+			return buffer, false, nil
 		case err != nil:
-			x.returnAnswer(body)
-			return nil, err
-		case len(body) < cap(body):
+			x.returnAnswer(buffer)
+			return nil, false, err
+		case len(buffer) < cap(buffer):
 			continue
 		}
-		grown, ok := x.growAnswer(body, limit)
+		grown, ok := x.growAnswer(buffer, limit)
 		if !ok {
-			x.returnAnswer(body)
-			return nil, errors.Wrapf(errAnswerTooLong, "after %d bytes", len(body))
+			return buffer, true, nil
 		}
-		body = grown
+		buffer = grown
 	}
 }
 
