attester: one judge of since when the state that was read is whole

Cause: leaser, follower and meterer each judged a restored store by themselves, by rules of their own: the first waited after any era that it reads, the second counted from its first confirmation, the third kept an era and a mark of its own. A daemon that started counted from its own start although its reader had lived through the restore.

Change: attester.Record, pure, says from when what was read lacks nothing that is written again or expires within a time, and whether an object that its writer has marked with an era lacks nothing. The three ask it. follower.Confirmation carries the record, archivist.CompleteIn is Attested. A reader's reply says how old its era is (SyncReply.EraAge), so that a daemon that starts beside it doesn't wait. A reply with a negative age of the era is refused.

TestReaderKnowsHowOldTheEraIs: a daemon that starts 3 s after a restore knows the restore's instant within 0.1 s, and within 0.3 s + 0.1 s if replies are on their way for 0.3 s.

--- a/archivist/archivist.go
+++ b/archivist/archivist.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"apricotspool/attester"
 	"apricotspool/follower"
 	"apricotspool/historian"
 	"apricotspool/namer"
@@ -121,13 +122,14 @@
 	return a.lists[service]
 }
 
-// CompleteIn reports whether all lists that have been read were complete in an era of the object API.
-func (a *Archivist) CompleteIn(era storer.Era) bool {
+// Attested reports whether all lists that have been read show that nothing is missing any more since the last restore of the
+// object API that the record knows of.
+func (a *Archivist) Attested(eras attester.Record) bool {
 	a.init()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, list := range a.lists {
-		if list.CompleteIn != era {
+		if !eras.Attested(list.CompleteIn) {
 			return false
 		}
 	}
--- a/archivist/complete_test.go
+++ b/archivist/complete_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"apricotspool/archivist"
+	"apricotspool/attester"
 	"apricotspool/follower"
 	"apricotspool/imitator"
 	"apricotspool/namer"
@@ -24,6 +25,12 @@
 	return s.start(t, store, true)
 }
 
+// record returns what a process knows that has read the store in an era.
+func record(era storer.Era) (r attester.Record) {
+	r.Begin(era, clock())
+	return r
+}
+
 // Guards against a list of builds that is taken for complete though a restore of the store may have lost a build (review/8),
 // against one that each restart distrusts again, and against a list of another writer that claims to be of a later era.
 func TestListIsCompleteOnceNothingIsMissing(t *testing.T) {
@@ -36,13 +43,13 @@
 		first := s.startSettling(t, &store, 4*time.Second)
 		time.Sleep(3 * time.Second)
 		is.Equal(first.Listed("llm"), []namer.Build{"v1"})
-		is.True(!first.CompleteIn(store.Era()))
+		is.True(!first.Attested(record(store.Era())))
 		time.Sleep(1100 * time.Millisecond)
-		is.True(first.CompleteIn(store.Era()))
+		is.True(first.Attested(record(store.Era())))
 
 		restarted := s.startSettling(t, &store, 4*time.Second)
 		time.Sleep(100 * time.Millisecond)
-		is.True(restarted.CompleteIn(store.Era()))
+		is.True(restarted.Attested(record(store.Era())))
 
 		store.Restore(store.Backup())
 		s.mu.Lock()
@@ -51,7 +58,7 @@
 		afterRestore := s.startSettling(t, &store, 4*time.Second)
 		time.Sleep(100 * time.Millisecond)
 		is.Equal(afterRestore.Listed("llm"), []namer.Build{"v1"})
-		is.True(!afterRestore.CompleteIn(store.Era()))
+		is.True(!afterRestore.Attested(record(store.Era())))
 
 		listed, err := store.Get(t.Context(), archivist.Prefix+"llm")
 		is.NoErr(err)
@@ -60,7 +67,7 @@
 		odd := s.startSettling(t, &store, 4*time.Second)
 		time.Sleep(100 * time.Millisecond)
 		for _, era := range []storer.Era{store.Era(), 9} {
-			is.True(!odd.CompleteIn(era))
+			is.True(!odd.Attested(record(era)))
 		}
 	})
 }
--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -144,7 +144,7 @@
 		return decider.Confirmation{} // the core lacks a change
 	}
 	since := replica.UnbrokenSince
-	if listing := f.entries.Listing(); !f.archivist.CompleteIn(listing.Version.Era()) {
+	if !f.archivist.Attested(replica.Eras) {
 		since = max(since, replica.SettledAt)
 	}
 	return decider.Confirmation{
--- a/follower/confirmation.go
+++ b/follower/confirmation.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"apricotspool/attester"
+	"apricotspool/storer"
 	"apricotspool/timekeeper"
 )
 
@@ -19,9 +21,10 @@
 	// existed for three quarters of the staleness bound was seen. It is in the future after a restore of the store that this
 	// process has noticed, until its writers have written again what the store has lost.
 	UnbrokenSince timekeeper.Instant
-	// SettledAt is the instant from which nothing is missing any more that the last restore of the store has lost, for all that
-	// this process knows: the store may have been restored a moment before the process has read it for the first time. It is 0 if
-	// the store names no era, and was not restored.
+	// Eras says when the store was last restored, for all that this process and its reader know.
+	Eras attester.Record
+	// SettledAt is the instant from which nothing is missing any more that the last restore of the store has lost, nor from the
+	// lists that other daemons make of it. It is 0 if the store names no era, and was not restored.
 	SettledAt timekeeper.Instant
 	// Gaps counts the gaps, and Gap is the time between the two confirmations around the last one.
 	Gaps uint64
@@ -54,35 +57,36 @@
 }
 
 // confirm records that the replica includes all changes made before an instant. A zero time confirms nothing.
-func (f *Follower) confirm(confirmed time.Time, at timekeeper.Instant, restored bool) {
-	if confirmed.After(f.confirmed) {
-		f.confirmed = confirmed
-		c := &f.confirmation
-		gap := at.Sub(c.At)
-		switch {
-		case !c.Known:
-			c.UnbrokenSince = at
-			if era := f.state.version.Era(); era > 0 {
-				c.SettledAt = max(c.SettledAt, f.settleTime())
-				f.Log.Info().Str("prefix", f.Prefix).Uint64("era", uint64(era)).Dur("settles-in", c.SettledAt.Sub(f.clock())).Msg("object-api-perhaps-restored")
-			}
-		case gap > f.boundFraction(gapFraction):
-			c.UnbrokenSince, c.Gap = max(c.UnbrokenSince, at), gap
-			c.Gaps++
-		}
-		c.At, c.Known = max(c.At, at), true
+func (f *Follower) confirm(confirmed time.Time, at timekeeper.Instant) {
+	if !confirmed.After(f.confirmed) {
+		return
 	}
-	if restored {
-		f.confirmation.SettledAt = f.settleTime()
-		f.confirmation.UnbrokenSince = f.confirmation.SettledAt
+	f.confirmed = confirmed
+	c := &f.confirmation
+	gap := at.Sub(c.At)
+	switch {
+	case !c.Known:
+		c.UnbrokenSince = max(c.UnbrokenSince, at)
+	case gap > f.boundFraction(gapFraction):
+		c.UnbrokenSince, c.Gap = max(c.UnbrokenSince, at), gap
+		c.Gaps++
 	}
+	c.At, c.Known = max(c.At, at), true
 }
 
-// settleTime returns the instant from which nothing is missing any more if the store has been restored by now.
-func (f *Follower) settleTime() timekeeper.Instant {
-	return f.clock().Add(f.boundFraction(1) + restoreGrace)
+// recordEra records that an era had begun by an instant, and reports whether the object API was restored since the replica was
+// first read.
+func (f *Follower) recordEra(era storer.Era, by timekeeper.Instant) (restored bool) {
+	c := &f.confirmation
+	begun := c.Eras.Begin(era, by)
+	c.SettledAt = c.Eras.WholeFrom(f.boundFraction(1) + attester.RewriteTime)
+	settlesIn := c.SettledAt.Sub(f.clock())
+	switch restored = begun && f.listing.Load() != nil; {
+	case restored:
+		c.UnbrokenSince = max(c.UnbrokenSince, c.SettledAt)
+		f.Log.Warn().Str("prefix", f.Prefix).Uint64("era", uint64(era)).Dur("settles-in", settlesIn).Msg("object-api-restored")
+	case begun && settlesIn > 0:
+		f.Log.Info().Str("prefix", f.Prefix).Uint64("era", uint64(era)).Dur("settles-in", settlesIn).Msg("object-api-perhaps-restored")
+	}
+	return restored
 }
-
-// restoreGrace is the time, beyond the staleness bound, after which the writers of what a restored store has lost have
-// written it again, and the lists that others make of it.
-const restoreGrace = 2 * time.Second
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -288,7 +288,7 @@
 	if known, _ := f.currentVersion(); version.Era() < known.Era() {
 		callStart = time.Time{} // the list does not confirm the replica
 	}
-	f.update(time.Now(), callStart, callInstant, func(s *state) bool { return s.applyList(objects, version) })
+	f.update(proof{time.Now(), callStart, callInstant, version.Era(), f.clock()}, func(s *state) bool { return s.applyList(objects, version) })
 	return nil
 }
 
@@ -326,7 +326,7 @@
 		for i := range changes.Objects {
 			changes.Objects[i] = f.limited(changes.Objects[i])
 		}
-		f.update(time.Now(), callStart, callInstant, func(s *state) bool { return s.applyChanges(changes) })
+		f.update(proof{time.Now(), callStart, callInstant, changes.Version.Era(), f.clock()}, func(s *state) bool { return s.applyChanges(changes) })
 	}
 }
 
@@ -344,29 +344,35 @@
 	return f.state.version, f.state.objects != nil
 }
 
-// update applies a change to the state and publishes the result. responded is when the object API responded;
-// its response includes all changes made before confirmed, which is at on the follower's clock.
-func (f *Follower) update(responded, confirmed time.Time, at timekeeper.Instant, apply func(*state) bool) {
+// proof is what a response shows besides the objects in it.
+type proof struct {
+	responded time.Time // when the object API responded
+	// confirmed is the time before which all changes are included, and at the same on the follower's clock. A zero time
+	// confirms nothing.
+	confirmed time.Time
+	at        timekeeper.Instant
+	era       storer.Era // of the object API
+	begunBy   timekeeper.Instant
+}
+
+// update applies a change to the state and publishes the result.
+func (f *Follower) update(p proof, apply func(*state) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if responded.After(f.responded) {
-		f.responded = responded
+	if p.responded.After(f.responded) {
+		f.responded = p.responded
 	}
-	answers := f.failing && confirmed.After(f.failedAt)
+	answers := f.failing && p.confirmed.After(f.failedAt)
 	if answers {
-		f.failing, f.outageEnd = false, responded
+		f.failing, f.outageEnd = false, p.responded
 		f.Log.Info().Str("prefix", f.Prefix).Uint64("version", uint64(f.state.version)).Msg("object-api-answers")
 	}
-	before := f.state.version.Era()
 	changed := apply(&f.state)
-	restored := false
-	if era := f.state.version.Era(); era > before && f.listing.Load() != nil {
-		restored = true
+	if f.recordEra(p.era, p.begunBy) {
 		// A restore has the effect of an outage: entries may be missing until their owners write them again.
-		f.outageEnd = responded
-		f.Log.Warn().Str("prefix", f.Prefix).Uint64("era", uint64(era)).Msg("object-api-restored")
+		f.outageEnd = p.responded
 	}
-	f.confirm(confirmed, at, restored)
+	f.confirm(p.confirmed, p.at)
 	if changed {
 		f.confirmation.Changes++
 	}
--- a/follower/odd_test.go
+++ b/follower/odd_test.go
@@ -120,6 +120,7 @@
 	for name, reply := range map[string]follower.SyncReply{
 		"negative age":       {Ready: true, Full: true, Version: 1, Age: -100 * time.Hour},
 		"negative hold":      {Ready: true, Full: true, Version: 1, Held: -100 * time.Hour},
+		"era in the future":  {Ready: true, Full: true, Version: 1, EraAge: -100 * time.Hour},
 		"object of a prefix": {Ready: true, Full: true, Version: 1, Objects: []storer.Object{{Key: "other/a", Version: 1}}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/follower/outage_test.go
+++ b/follower/outage_test.go
@@ -1,6 +1,7 @@
 package follower_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,3 +111,41 @@
 		})
 	}
 }
+
+// Guards against a daemon that starts long after a restore and distrusts what a reader that has lived through it could vouch
+// for, and against one that takes the time for which a reply was on its way as age of the era.
+func TestReaderKnowsHowOldTheEraIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		begin := time.Now()
+		clock := func() timekeeper.Instant { return timekeeper.Instant(time.Since(begin) + time.Hour) }
+		store := newFaultyStore()
+		store.put(t, "a")
+		reader := &follower.Follower{Source: store, Prefix: prefix, Clock: clock}
+		run(t, reader)
+		time.Sleep(time.Second)
+		store.Restore(store.Backup())
+		restored := clock()
+		time.Sleep(3 * time.Second)
+		for _, delay := range []time.Duration{0, 300 * time.Millisecond} {
+			f := &follower.Follower{Source: store, Prefix: prefix, Clock: clock, Readers: &lateReaders{&fakeReaders{reader: reader}, delay}}
+			run(t, f)
+			time.Sleep(time.Second)
+			by := f.Confirmation().Eras.BegunBy()
+			is.True(by >= restored.Add(delay))
+			is.True(by <= restored.Add(delay+100*time.Millisecond))
+		}
+	})
+}
+
+// lateReaders delays the replies of a reader.
+type lateReaders struct {
+	*fakeReaders
+	delay time.Duration
+}
+
+func (r *lateReaders) Sync(ctx context.Context, request *follower.SyncRequest) (*follower.SyncReply, error) {
+	reply, err := r.fakeReaders.Sync(ctx, request)
+	time.Sleep(r.delay)
+	return reply, err
+}
--- a/follower/sync.go
+++ b/follower/sync.go
@@ -35,12 +35,14 @@
 	Failing bool
 	// Held is how long the reader has held the call before it made the reply.
 	Held time.Duration
+	// EraAge is the time since the era of Version had begun at the latest, for all that the reader knows.
+	EraAge time.Duration
 }
 
 // check returns an error if a reply has values that no reader sends.
 func (r *SyncReply) check(prefix string) error {
-	if r.Age < 0 || r.Held < 0 {
-		return errors.Errorf("age %v and time held %v must not be negative", r.Age, r.Held)
+	if r.Age < 0 || r.Held < 0 || r.EraAge < 0 {
+		return errors.Errorf("age %v, time held %v and age of the era %v must not be negative", r.Age, r.Held, r.EraAge)
 	}
 	for _, o := range r.Objects {
 		if !strings.HasPrefix(o.Key, prefix) {
@@ -101,7 +103,9 @@
 	if known, _ := f.currentVersion(); reply.Version < known {
 		confirmed = time.Time{} // an older state does not confirm the replica
 	}
-	f.update(confirmed, confirmed, callInstant.Add(held-reply.Age), func(s *state) bool {
+	// A reply that was on its way for a while makes the era seem younger than it is.
+	begunBy := f.clock().Add(-reply.EraAge)
+	f.update(proof{confirmed, confirmed, callInstant.Add(held - reply.Age), reply.Version.Era(), begunBy}, func(s *state) bool {
 		if !reply.Full {
 			return s.applyChanges(storer.Changes{Objects: reply.Objects, Version: reply.Version})
 		}
@@ -146,5 +150,6 @@
 	}
 	changes, full := f.state.changesSince(known)
 	reply.Version, reply.Objects, reply.Full = changes.Version, changes.Objects, full
+	reply.EraAge = max(0, f.clock().Sub(f.confirmation.Eras.BegunBy()))
 	return reply, f.changed
 }
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -16,8 +16,10 @@
 	"github.com/rs/zerolog"
 
 	"apricotspool/asserter"
+	"apricotspool/attester"
 	"apricotspool/namer"
 	"apricotspool/storer"
+	"apricotspool/timekeeper"
 )
 
 // Defaults of the fields of a Leaser.
@@ -105,11 +107,9 @@
 	versionSeenAt Reading // when version was first observed
 	renewals      uint64
 	token         namer.FencingToken // of the lease that this process holds; 0 if it holds none
-	era           storer.Era
-	restored      bool          // the store has begun an era during the life of this process
-	notBefore     time.Duration // monotonic time before which the lease is then not acquired
-	abstains      bool          // the lease was given up, and another candidate gets it first
-	abstainUntil  time.Duration // monotonic time at which that ends
+	eras          attester.Record    // by the monotonic clock
+	abstains      bool               // the lease was given up, and another candidate gets it first
+	abstainUntil  time.Duration      // monotonic time at which that ends
 }
 
 func (l *Leaser) init() {
@@ -221,20 +221,17 @@
 	return g.unfit.Load() || (l.ReleaseIneligible && !l.eligible()) || (g.unreachedFor() >= l.HandoverGap && g.renewedWithin(2*l.RenewInterval))
 }
 
-// acquirable reports whether no process can hold a lease of an earlier era any more.
+// acquirable reports whether no process can hold a lease any more that the store has lost.
 func (l *Leaser) acquirable() bool {
-	return !l.restored || l.clock().Now().Mono >= l.notBefore
+	return l.eras.Whole(timekeeper.Instant(l.clock().Now().Mono), l.Duration+l.Margin)
 }
 
 // observeEra ends the grant of an earlier era. The restored store may have forgotten a holder whose authority
 // has not expired yet.
 func (l *Leaser) observeEra(era storer.Era, now Reading) {
-	if era <= l.era {
-		return
+	if l.eras.Begin(era, timekeeper.Instant(now.Mono)) {
+		l.dropGrant()
 	}
-	l.era, l.restored = era, true
-	l.notBefore = now.Mono + l.Duration + l.Margin
-	l.dropGrant()
 }
 
 // tryAcquire reads the lease and acquires it if it is available. The jitter keeps candidates from
@@ -288,7 +285,7 @@
 	ctx, cancel := l.bound(ctx)
 	defer cancel()
 	object, err := l.Store.Get(ctx, string(l.Name))
-	if source, ok := l.Store.(storer.EraSource); ok {
+	if source, ok := l.Store.(storer.EraSource); ok && source.Era() > 0 {
 		l.observeEra(source.Era(), now)
 	}
 	if errors.Is(err, storer.ErrNotFound) {
--- a/meterer/settler.go
+++ b/meterer/settler.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"apricotspool/attester"
 	"apricotspool/leaser"
 	"apricotspool/namer"
 	"apricotspool/storer"
@@ -44,7 +45,7 @@
 	acknowledged map[Window]bool
 	unsaved      bool   // windows known from before the store was restored aren't in it
 	doubtful     Window // see settlement
-	era          storer.Era
+	eras         attester.Record
 	heldAt       timekeeper.Instant // when this daemon last had the authority
 	retryAt      timekeeper.Instant
 }
@@ -111,14 +112,14 @@
 // held the lease until then knows everything that was settled; others may miss windows that the store has lost.
 func (m *Meterer) observeEra() {
 	source, ok := m.Store.(storer.EraSource)
-	if !ok || source.Era() <= m.era {
+	if !ok || !m.eras.Begin(source.Era(), m.Steady()) {
 		return
 	}
 	if m.token == 0 || m.Steady().Sub(m.heldAt) > handoverTime {
 		m.doubtful = m.lastFinal()
 	}
-	m.era, m.loaded = source.Era(), false
-	m.Log.Info().Uint64("era", uint64(m.era)).Int64("doubtful", int64(m.doubtful)).Msg("usage-perhaps-lost")
+	m.loaded = false
+	m.Log.Info().Uint64("era", uint64(m.eras.Era())).Int64("doubtful", int64(m.doubtful)).Msg("usage-perhaps-lost")
 }
 
 // lastFinal returns the last window that may have been settled by now.
@@ -144,7 +145,7 @@
 			m.doubtful = m.lastFinal()
 		}
 	}
-	if err == nil && m.era > 0 && read.Era == m.era {
+	if err == nil && m.eras.Attested(read.Era) {
 		m.doubtful = 0
 	}
 	m.unsaved = read.merge(m.stored)
@@ -196,7 +197,7 @@
 // write replaces the settled windows in the store. After a failure it reads them again before anything else is done:
 // the write may have taken effect, or another holder has written.
 func (m *Meterer) write(ctx context.Context, next ledger) bool {
-	next.Era = m.era
+	next.Era = m.eras.Era()
 	value, err := json.Marshal(next)
 	if err != nil {
 		m.Log.Error().Err(err).Msg("settled-windows-not-encoded")
