activator: a store that was just restored confirms no configuration

Cause: a backup holds the configuration of before, in which a key is listed that was withdrawn after it. A daemon that starts just after the restore, or that was cut off at the withdrawal, took the backup's configuration for the newest one and served the key beyond the revocation bound. An older configuration in a restored store counted as a confirmation, too.

Change: a confirmation counts from two seconds after the restore, within which the operator writes its configuration again, or if the lists of builds show that the store has been whole in this era. Until then the last confirmation ages: keyed requests are served up to the revocation bound.

--- a/activator/activator.go
+++ b/activator/activator.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"apricotspool/attester"
 	"apricotspool/authenticator"
 	"apricotspool/follower"
 	"apricotspool/matcher"
@@ -30,14 +31,17 @@
 	Clock  timekeeper.Clock
 	Secret authenticator.Secret
 	Bounds authenticator.Bounds
-	Log    zerolog.Logger
+	// Attested reports whether a list in the store shows that nothing is missing there any more since its last restore; nil
+	// means that none does.
+	Attested func(attester.Record) bool
+	Log      zerolog.Logger
 
 	// seen is the version of the last configuration that was read, and valid whether the store then held nothing newer than
 	// what is in force. Used by Apply only.
 	seen  storer.Version
 	valid bool
 
-	mu        sync.Mutex // guards the fields below; not held during calls, except those of Source and Clock
+	mu        sync.Mutex // guards the fields below; not held during calls, except those of Source, Clock and Attested
 	table     *matcher.Table
 	directory *authenticator.Directory
 	// newest is set while the configuration in force is the newest one as of the listing with the number changes.
@@ -76,14 +80,17 @@
 }
 
 // confirm takes over the replica's confirmation if it is about the listing that the configuration in force comes from. The
-// confirmation of a later listing says nothing about it: the earlier one stays. The caller holds a.mu.
+// confirmation of a later listing says nothing about it: the earlier one stays. Nor does that of a restored store, which may
+// have lost a later configuration that the operator hasn't written again. The caller holds a.mu.
 func (a *Activator) confirm() {
 	c := a.Source.Confirmation()
-	if a.newest && c.Known && c.Changes == a.changes {
+	if a.newest && c.Known && c.Changes == a.changes && (c.Eras.Whole(c.At, attester.RewriteTime) || a.attested(c.Eras)) {
 		a.confirmedAt, a.confirmed = c.At, true
 	}
 }
 
+func (a *Activator) attested(eras attester.Record) bool { return a.Attested != nil && a.Attested(eras) }
+
 // Apply activates the newest configuration, unless it is invalid or older than the one in force.
 func (a *Activator) Apply() {
 	listing := a.Source.Listing()
@@ -109,7 +116,8 @@
 	a.valid = true
 	if old := a.Table(); old != nil && old.Version > table.Version {
 		a.Log.Error().Uint64("version", uint64(table.Version)).Uint64("in-force", uint64(old.Version)).Msg("configuration-went-back")
-		// A restored store holds nothing newer than what is in force.
+		// A restored store holds nothing newer than what is in force. Until the operator has had the time to write again what
+		// it has lost, that confirms nothing; see confirm.
 		a.supersede(listing.Changes, true)
 		return
 	}
--- a/activator/activator_test.go
+++ b/activator/activator_test.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"apricotspool/activator"
+	"apricotspool/attester"
 	"apricotspool/authenticator"
 	"apricotspool/classifier"
 	"apricotspool/follower"
@@ -327,3 +328,76 @@
 		<-f.Done()
 	})
 }
+
+// Guards against a withdrawn key that runs because the store was restored from a backup in which it is listed: at a daemon that
+// has started since, and at one that was cut off when the key was withdrawn. A key that wasn't withdrawn runs on at a daemon
+// that lived through the restore, and at one that starts with it or with any other daemon.
+func TestWithdrawnKeyInRestoredStore(t *testing.T) {
+	for name, row := range map[string]struct {
+		withdrawn, rewritten time.Duration // before and after the restore
+		starts, fed          bool          // after the restore, at a reader that lived through it
+		cut                  bool          // from the withdrawal to the restore
+		current              time.Duration // from when keys may be refused
+	}{
+		"started after the restore":   {withdrawn: 6 * time.Second, rewritten: 1900 * time.Millisecond, starts: true, current: 4 * time.Second},
+		"started at a living reader":  {withdrawn: 6 * time.Second, rewritten: 1900 * time.Millisecond, starts: true, fed: true, current: 4 * time.Second},
+		"cut off at the withdrawal":   {withdrawn: 3900 * time.Millisecond, rewritten: 1900 * time.Millisecond, cut: true, current: 4 * time.Second},
+		"knows the withdrawal":        {withdrawn: 3 * time.Second, rewritten: 1900 * time.Millisecond},
+		"rewritten after the restore": {withdrawn: 6 * time.Second, rewritten: 100 * time.Millisecond, starts: true, current: 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &store{Store: &imitator.Store{}}
+				write(t, s, "1 old new")
+				backup := s.Backup()
+				d := startDaemon(t, s, nil)
+				time.Sleep(2 * time.Second)
+				s.setCut(row.cut)
+				write(t, s, "2 new")
+				time.Sleep(row.withdrawn)
+				s.Restore(backup)
+				s.setCut(false)
+				if row.starts {
+					var from follower.Readers
+					if row.fed {
+						from = readers{reader: d.follower}
+					}
+					d = startDaemon(t, s, from)
+				}
+				restored := time.Now()
+				for time.Since(restored) < 12*time.Second {
+					if time.Since(restored) >= row.rewritten && s.Store.Calls()["put"] == 2 {
+						write(t, s, "2 new")
+					}
+					is.True(d.View().Directory == nil || time.Since(restored)+row.withdrawn <= 5*time.Second || d.check("old") != served)
+					is.True(time.Since(restored) < row.current || d.check("new") == served)
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a fleet that refuses all keys after each start of its daemons, because the store was restored once, long ago.
+func TestKeysRunAfterRestartInLaterEra(t *testing.T) {
+	for name, attested := range map[string]bool{"a daemon lived on": false, "all were killed": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &store{Store: &imitator.Store{}}
+				write(t, s, "1 a")
+				s.Restore(s.Backup())
+				reader := startDaemon(t, s, nil)
+				time.Sleep(10 * time.Second)
+				d := startDaemon(t, s, readers{reader: reader.follower})
+				if attested {
+					d = startDaemon(t, s, nil)
+					d.Attested = func(r attester.Record) bool { return r.Attested(2) }
+				}
+				time.Sleep(100 * time.Millisecond)
+				is.Equal(d.check("a"), served)
+			})
+		})
+	}
+}
--- a/assembler/gatewaykeys.go
+++ b/assembler/gatewaykeys.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 
 	"apricotspool/activator"
+	"apricotspool/attester"
 	"apricotspool/authenticator"
 	"apricotspool/follower"
 	"apricotspool/timekeeper"
@@ -14,6 +15,7 @@
 func (g *Gateway) connectKeys() {
 	g.activator = &activator.Activator{
 		Source: g.config, Key: g.Platform.ConfigKey, Decode: g.Platform.DecodeConfig, Clock: timekeeper.Now, Log: g.Log.Events,
+		Attested: func(eras attester.Record) bool { return g.archivist.Attested(eras) },
 		Bounds: authenticator.Bounds{
 			Revocation: g.Settings.RevocationBound.Std(),
 			Staleness:  cmp.Or(g.Settings.StalenessBounds.Configuration.Std(), follower.DefaultStalenessBound),
