announcer: write the own entry again after a late removal

Cause: a daemon that shuts down removes its entry. If the store carries the removal out late, it hits the entry that the next process on that host has found and kept. The entry was written again only after a later era, so that the others didn't know the daemon for the rest of its life.

Change: an entry that a newer listing lacks is written again, unless the daemon has removed it itself. A daemon that leaves doesn't write it again after a restore either.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,8 @@
 	follower *follower.Follower
 	written  []byte // the entry that was written last; used by announce only
 
+	leaving atomic.Bool // the entry was removed, or is about to be
+
 	mu      sync.Mutex
 	listing *follower.Listing // the listing that members was decoded from
 	members []Member
@@ -162,7 +165,7 @@
 }
 
 // announce writes the daemon's own entry, and writes it again when it changes or is missing: a store that was
-// restored from a backup may have lost it. An unchanged entry from an earlier start is kept.
+// restored from a backup may have lost it, or a late removal has deleted it. An unchanged entry from an earlier start is kept.
 func (a *Announcer) announce(ctx context.Context) {
 	var written storer.Version // 0 until the entry has been written
 	outdated := true
@@ -171,7 +174,7 @@
 		if a.lost(written) || a.overwritten(written) {
 			written, outdated = 0, true
 		}
-		if outdated {
+		if outdated && !a.leaving.Load() {
 			version, err := a.writeEntry(ctx, written)
 			if err != nil {
 				written = 0 // the entry is read before the next attempt
@@ -193,10 +196,11 @@
 	}
 }
 
-// lost reports whether a listing of a later era than the entry doesn't have it.
+// lost reports whether a listing that is newer than the entry doesn't have it. Nobody but the daemon itself removes it, yet the
+// store may carry out late what an earlier process on this host has sent.
 func (a *Announcer) lost(written storer.Version) bool {
 	listing := a.follower.Listing()
-	if written == 0 || listing == nil || listing.Version.Era() <= written.Era() {
+	if written == 0 || listing == nil || listing.Version <= written {
 		return false
 	}
 	_, present := listing.Objects[a.key()]
@@ -259,8 +263,9 @@
 	return value, errors.Wrap(err, "encode member")
 }
 
-// Deregister deletes the daemon's own entry.
+// Deregister deletes the daemon's own entry, which isn't written again.
 func (a *Announcer) Deregister() {
+	a.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
 	old, err := a.Store.Get(ctx, a.key())
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -197,3 +197,24 @@
 		is.Equal(store.Calls()["put"], puts)
 	})
 }
+
+// Guards against a daemon that the others don't know any more since the store has carried out a removal late: that of the
+// process before it on its host, whose entry it has kept.
+func TestEntryIsWrittenAgainAfterLateRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &imitator.Store{}
+		a, stop := start(t, store, "a", 1)
+		defer stop()
+		time.Sleep(4 * time.Second)
+		old, err := store.Get(t.Context(), announcer.Prefix+"a")
+		is.NoErr(err)
+		is.NoErr(store.Delete(t.Context(), old.Key, old.Version))
+		time.Sleep(6 * time.Second)
+		is.Equal(hosts(a), []namer.Host{"a"})
+		a.Deregister() // a daemon that leaves runs on for a while
+		time.Sleep(6 * time.Second)
+		is.Equal(len(hosts(a)), 0)
+		is.Equal(store.Calls()["put"], 2)
+	})
+}
