relayer: keep the question mark of an empty query

Cause: the target of a request was cut at its question mark, and the mark was written again only before a query that isn't empty. A server ran "/a" where the client had asked for "/a?".

Change: forwarder.Call.ForceQuery, as in net/url.

Result: TestTargetPassesUnchanged failed for "/unsafe/a?" and passes for five targets.

--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -332,7 +332,7 @@
 	head.WriteString(call.Method)
 	head.WriteByte(' ')
 	head.WriteString(call.Path)
-	if call.Query != "" {
+	if call.Query != "" || call.ForceQuery {
 		head.WriteByte('?')
 		head.WriteString(call.Query)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,8 @@
 	Method string
 	Path   string // escaped path, with its leading slash
 	Query  string // raw query without the question mark
+	// ForceQuery says that a question mark follows the path although the query is empty.
+	ForceQuery bool
 	Header http.Header
 	Body   io.Reader // nil means no body; it is read at most once
 	Length int64     // of the body; -1 if unknown
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -102,9 +102,9 @@
 	forwarder.RemoveHopByHop(header) // before Encode: the caller must not name headers of the daemon in Connection
 	a.Authenticated, a.Workspace = x.identity.Authenticated, x.workspace
 	x.relayer.Dialect.Encode(header, a)
-	path, query, _ := strings.Cut(x.r.RequestURI, "?")
+	path, query, hasQuery := strings.Cut(x.r.RequestURI, "?")
 	call := forwarder.Call{
-		Method: x.r.Method, Path: path, Query: query, Host: x.r.Host, Header: header, Body: x.bodyReader(), Length: int64(len(x.body)),
+		Method: x.r.Method, Path: path, Query: query, ForceQuery: hasQuery, Host: x.r.Host, Header: header, Body: x.bodyReader(), Length: int64(len(x.body)),
 		Abandoned: x.sendCheck(),
 	}
 	switch {
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -16,6 +16,16 @@
 	"apricotspool/matcher"
 )
 
+// Guards against an empty query that is cut off: a path without a question mark is another target.
+func TestTargetPassesUnchanged(t *testing.T) {
+	for _, target := range []string{"/unsafe/a", "/unsafe/a?", "/unsafe/a??", "/unsafe/a?b", "/unsafe/a?b?"} {
+		is := is.New(t)
+		f := newFixture(t, dispatchTo("a")...)
+		f.endpoint("a", func(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Seen", r.RequestURI) })
+		is.Equal(f.send("POST", target, "body").header.Get("X-Seen"), target)
+	}
+}
+
 // Guards against requests and responses that are modified by the proxy.
 func TestRequestAndResponsePassUnchanged(t *testing.T) {
 	is := is.New(t)
