--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -114,12 +114,27 @@
 	return first
 }
 
+// resetOnClose makes the end of the connection reset it instead of sending what still waits.
+func (n *conn) resetOnClose() error {
+	socket, ok := n.Conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return errors.Errorf("connection of type %T can't be reset", n.Conn)
+	}
+	return errors.Wrap(socket.SetLinger(0), "make closing reset the connection")
+}
+
 // roundTrip sends a call and reads the header of its response.
 func (n *conn) roundTrip(ctx context.Context, c *Client, call Call) (*Response, error) {
 	if call.abandoned(ctx) {
 		c.putBack(n)
 		return nil, fmt.Errorf("%w: %w", ErrAbandoned, ErrNotSent)
 	}
+	if call.Reset {
+		if err := n.resetOnClose(); err != nil {
+			n.discard()
+			return nil, fmt.Errorf("%w: %w", err, ErrNotSent)
+		}
+	}
 	n.carried[n.calls%maxCarried] = call.Header.Get(c.EchoHeader)
 	n.calls++
 	stop := context.AfterFunc(ctx, n.discard)
@@ -142,7 +157,7 @@
 		return nil, errors.Wrap(class, err.Error())
 	}
 	idleTimeout := keepAliveTimeout(response, c.idleTimeout())
-	if response.Close || hasConnectionClose(call.Header) {
+	if response.Close || hasConnectionClose(call.Header) || call.Reset {
 		idleTimeout = 0
 	}
 	RemoveHopByHop(response.Header)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,16 +29,20 @@
 	Query  string // raw query without the question mark
 	// ForceQuery says that a question mark follows the path although the query is empty.
 	ForceQuery bool
-	Header http.Header
-	Body   io.Reader // nil means no body; it is read at most once
-	Length int64     // of the body; -1 if unknown
-	Host   string    // Host header; may be empty
+	Header     http.Header
+	Body       io.Reader // nil means no body; it is read at most once
+	Length     int64     // of the body; -1 if unknown
+	Host       string    // Host header; may be empty
 	// MaxIdle is how long a pooled connection may have been idle to be reused for this call; 0 means no
 	// limit. An endpoint that closes idle connections may do so while the call is in transit.
 	MaxIdle time.Duration
 	// Abandoned, if set, is called immediately before the first byte is written, possibly in another goroutine. If it returns
 	// true, nothing is sent and Forward fails with ErrAbandoned.
 	Abandoned func() bool
+	// Reset makes the end of the connection drop what the endpoint hasn't received yet, also if the process is killed. Without
+	// it, an abandoned call that waits behind a network partition arrives when the partition ends. The connection isn't used
+	// for another call.
+	Reset bool
 }
 
 // NewConnection as Call.MaxIdle keeps a call off connections with earlier calls. Nothing tells the responses to calls
