relayer: a report of another process shows that the endpoint has ended

Cause: after a broken stream a daemon asks the endpoint for a report, and takes any report as a sign that the process lives. A server that ended and was back under its name and address before a connection was refused was taken for the process before, whose software version its entry still named.

An entry without one stays valid, since the platform's own example has none: nothing that is known of another process is used for it.

--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -162,7 +162,7 @@
 	}
 	targets := make(map[namer.Endpoint]forwarder.Target, len(entries))
 	for _, e := range entries {
-		targets[e.Name] = forwarder.Target{Endpoint: e.Name, Address: e.Address}
+		targets[e.Name] = forwarder.Target{Endpoint: e.Name, Address: e.Address, Incarnation: e.Incarnation}
 	}
 	f.targets.Store(&targets)
 	fleet := f.buildFleet(table, entries)
--- a/detector/suspicion.go
+++ b/detector/suspicion.go
@@ -1,9 +1,15 @@
 package detector
 
-import "time"
+import (
+	"time"
+
+	"apricotspool/namer"
+)
 
 // Report is an endpoint's report of its own load, which may be some hundred milliseconds old.
 type Report struct {
+	// Incarnation is that of the process that made the report; 0 if it doesn't say.
+	Incarnation namer.Incarnation
 	// Waiting and Running count the requests at the endpoint.
 	Waiting, Running int
 	// KVUsed and Handles are the tokens of KV memory in use and the KV caches held for other engines.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,7 +19,9 @@
 type Target struct {
 	Endpoint namer.Endpoint
 	Address  netip.AddrPort
-	MaxConns int // maximum number of open connections to the endpoint; 0 means no limit
+	// Incarnation is that of the endpoint's entry; 0 if unknown.
+	Incarnation namer.Incarnation
+	MaxConns    int // maximum number of open connections to the endpoint; 0 means no limit
 }
 
 // Call is one request to a plain service.
--- a/placer/departed.go
+++ b/placer/departed.go
@@ -8,9 +8,8 @@
 )
 
 // statements is what an incarnation of an endpoint has shown of itself to this daemon, in its responses and by its end, and what
-// follows from it. It holds for
-// the life of the incarnation, whatever the object API lists: an entry can expire while its endpoint serves, and a store that
-// was restored from a backup lists endpoints again that have left.
+// follows from it. It holds for the life of the incarnation, whatever the object API lists: an entry can expire while its
+// endpoint serves, and a store that was restored from a backup lists endpoints again that have left.
 type statements struct {
 	announcedLeaving bool // the endpoint has said that it is leaving
 	// perhapsReplaced says that the process was seen to have ended at endedAt, and that another one may have taken its place.
--- a/relayer/ended.go
+++ b/relayer/ended.go
@@ -60,7 +60,7 @@
 }
 
 // ended reports whether an endpoint's process is known to have ended. An answer to an earlier call doesn't show
-// that the endpoint is still there.
+// that the endpoint is still there, and a report of another incarnation shows that it isn't.
 func (c *reportCache) ended(ctx context.Context, r *Relayer, target forwarder.Target, check reportFunc) bool {
 	since := time.Now()
 	var call *reportCall
@@ -75,12 +75,18 @@
 		case errors.Is(call.err, syscall.ECONNREFUSED) || errors.Is(call.err, errReplaced):
 			return true
 		case call.err == nil && !call.startedAt.Before(since):
-			return false
+			return replaced(call.report, target)
 		}
 	}
 	return false
 }
 
+// replaced reports whether a report comes from a process that has started under the endpoint's name and address since its entry
+// was written.
+func replaced(report detector.Report, target forwarder.Target) bool {
+	return report.Incarnation != 0 && target.Incarnation != 0 && report.Incarnation != target.Incarnation
+}
+
 // connect checks whether anything listens at the address of a plain endpoint, which has no load report. A request for its
 // health would wait for a slot.
 func (r *Relayer) connect(ctx context.Context, target forwarder.Target) (detector.Report, error) {
--- a/relayer/ended_test.go
+++ b/relayer/ended_test.go
@@ -14,6 +14,7 @@
 	"apricotspool/decider"
 	"apricotspool/detector"
 	"apricotspool/forwarder"
+	"apricotspool/namer"
 )
 
 // closableEngine starts engine "a", which handles requests with respond and is closed through its server.
@@ -48,13 +49,25 @@
 			abortConnection()
 		}
 	}
+	restart := func(before, after namer.Incarnation) func(*fixture) {
+		return func(f *fixture) {
+			f.reportEndpoint("a", func() (detector.Report, bool) { return detector.Report{Incarnation: after}, true },
+				func(http.ResponseWriter, *http.Request) { abortConnection() })
+			target := f.targets["a"]
+			target.Incarnation = before
+			f.targets["a"] = target
+		}
+	}
 	breakOff := func(http.ResponseWriter, *http.Request) { abortConnection() }
 	for name, c := range map[string]struct {
 		start func(*fixture)
 		ended bool
 	}{
-		"ended":    {func(f *fixture) { f.closableEngine(endProcess) }, true},
-		"replaced": {func(f *fixture) { f.closableEngine(replace(f)) }, true},
+		"ended":                          {func(f *fixture) { f.closableEngine(endProcess) }, true},
+		"replaced":                       {func(f *fixture) { f.closableEngine(replace(f)) }, true},
+		"back before anyone was refused": {restart(1, 2), true},
+		"says when it has started":       {restart(1, 1), false},
+		"entry doesn't say":              {restart(0, 2), false},
 		"alive": {func(f *fixture) {
 			f.reportEndpoint("a", func() (detector.Report, bool) { return detector.Report{}, true }, breakOff)
 		}, false},
