placer, relayer: messages and handles belong to one life of an endpoint

Cause: load summaries, progress of requests and pauses named an endpoint, not its incarnation. A daemon with a newer entry took those of one that didn't know it yet, and had the load, the prefixes and the pause of the process before for the next one's. A prompt handle was used, or given back, although the process that had given it out had ended: the next one may give the same handle out for another prompt. A load report that was fetched under the entry before was reused under the next one.

Change: these messages carry the life of the endpoint, 16 bits of its incarnation, and are ignored for another one. A handle remembers its incarnation; one of another process is neither used nor released. A cached report belongs to the target that it was fetched from.

--- a/placer/check_test.go
+++ b/placer/check_test.go
@@ -35,6 +35,7 @@
 				Endpoint: endpoint.Draw(t, "endpoint"), Rate: number.Draw(t, "rate"), Running: rapid.Int().Draw(t, "running"),
 				Streams: rapid.Int().Draw(t, "streams"), Urgent: rapid.Int().Draw(t, "urgent"), PrefixTTL: seconds.Draw(t, "ttl"),
 				InProgress: seconds.Draw(t, "in progress"), Generating: rapid.Int().Draw(t, "generating"), Inflow: number.Draw(t, "inflow"),
+				Life: placer.Life(rapid.Uint16Range(0, 1).Draw(t, "life")),
 				Pace: rapid.SampledFrom([]*placer.LoadPace{nil, {}, {Window: 2, Unanswered: 1}, {Window: math.NaN()}, {Window: 1e300}, {Window: 2, Unanswered: -1}}).Draw(t, "pace"),
 			}
 		})
@@ -74,7 +75,7 @@
 			case 2:
 				m.ProgressUpdate = &placer.ProgressUpdate{
 					ReservationID: id, Endpoint: endpoint.Draw(t, "endpoint"), Progress: placer.Progress(rapid.IntRange(0, 5).Draw(t, "progress")), Work: work.Draw(t, "work"),
-					Answer: answer.Draw(t, "answer"),
+					Answer: answer.Draw(t, "answer"), Life: placer.Life(rapid.Uint16Range(0, 1).Draw(t, "life")),
 				}
 			case 3:
 				m.Pause = &placer.Pause{Endpoint: endpoint.Draw(t, "endpoint"), Length: seconds.Draw(t, "length")}
--- a/placer/message.go
+++ b/placer/message.go
@@ -127,6 +127,7 @@
 	Work          Work // with Placed
 	// Answer is how the engine has answered, if its pace depends on it.
 	Answer *pacer.Answer
+	Life   Life
 }
 
 // Pause tells all daemons that an endpoint gets no new work for a time.
@@ -134,6 +135,7 @@
 	_        struct{} `cbor:",toarray"`
 	Endpoint namer.Endpoint
 	Length   namer.Seconds
+	Life     Life
 }
 
 // Load is a summary of an engine's ledger.
@@ -158,8 +160,20 @@
 	Generating int
 	Inflow     float64
 	Pace       *LoadPace // nil for an engine without a bound
+	Life       Life
 }
 
+// Life identifies an incarnation of an endpoint among those that daemons may know at a time. It takes a third of the bytes of an
+// Incarnation, in messages that are sent for each request or many times a second.
+type Life uint16
+
+// LifeOf returns the life of an incarnation; 0 if that is unknown.
+func LifeOf(i namer.Incarnation) Life { return Life(i ^ i>>16 ^ i>>32) }
+
+// lives reports whether a message about a life of the endpoint is about the present one. A daemon that sends it may know an
+// earlier entry than this one, or a later one.
+func (e *endpoint) lives(l Life) bool { return l == LifeOf(e.view.Incarnation) }
+
 // LoadPace is the bound of an engine that has started or recovered.
 type LoadPace struct {
 	_          struct{} `cbor:",toarray"`
--- a/placer/peers.go
+++ b/placer/peers.go
@@ -149,10 +149,11 @@
 	c.ensureInit(now)
 	c.actions = c.actions[:0]
 	pause := &Pause{Endpoint: endpoint, Length: namer.SecondsOf(length)}
-	c.pause(c.seconds(now), pause)
 	if e := c.endpoints[endpoint]; e != nil {
+		pause.Life = LifeOf(e.view.Incarnation)
 		c.chargeLimit(c.seconds(now), e) // the order that is the reason
 	}
+	c.pause(c.seconds(now), pause)
 	for _, m := range c.members {
 		if m.Host != c.Self {
 			c.send(m.Host, Message{Pause: pause})
@@ -162,7 +163,7 @@
 }
 
 func (c *Core) pause(now namer.Seconds, p *Pause) {
-	if e := c.endpoints[p.Endpoint]; e != nil {
+	if e := c.endpoints[p.Endpoint]; e != nil && e.lives(p.Life) {
 		e.turnsAwayUntil = max(e.turnsAwayUntil, now+min(p.Length, maxPause))
 	}
 }
@@ -194,7 +195,7 @@
 }
 
 func (c *Core) handleProgress(now namer.Seconds, from namer.Host, u *ProgressUpdate) {
-	if e := c.endpoints[u.Endpoint]; e != nil && !e.pool(c).plain {
+	if e := c.endpoints[u.Endpoint]; e != nil && e.lives(u.Life) && !e.pool(c).plain {
 		c.ledger(e).update(now, reservationKey{from, u.ReservationID}, u)
 		c.observeProgress(now, e, u)
 	}
@@ -205,7 +206,7 @@
 	if c.endpoints[e.view.Name] != e || e.pool(c).plain {
 		return
 	}
-	u.ReservationID, u.Endpoint = reservation, e.view.Name
+	u.ReservationID, u.Endpoint, u.Life = reservation, e.view.Name, LifeOf(e.view.Incarnation)
 	owner := c.ledgerOwner(now, e)
 	if owner.Host == c.Self {
 		c.handleProgress(now, c.Self, &u)
@@ -229,6 +230,7 @@
 func (c *Core) loadSummary(now namer.Seconds, e *endpoint) Load {
 	c.ledger(e).presumed = e.pace.Presumed(now)
 	load := c.ledger(e).summary(now, e.view.Name)
+	load.Life = LifeOf(e.view.Incarnation)
 	if e.pace.Bounded() {
 		load.Pace = &LoadPace{Window: e.pace.Window(), Unanswered: c.ledger(e).unanswered(now, e.boundAt)}
 	}
@@ -238,7 +240,7 @@
 // updateLoad applies a load summary.
 func (c *Core) updateLoad(now namer.Seconds, load Load) {
 	e := c.endpoints[load.Endpoint]
-	if e == nil || load.Rate <= 0 {
+	if e == nil || load.Rate <= 0 || !e.lives(load.Life) {
 		return
 	}
 	e.load, e.loadUpdatedAt = load, now
--- a/placer/place.go
+++ b/placer/place.go
@@ -162,7 +162,7 @@
 	q := c.pendingReservations[r.ReservationID]
 	if q == nil {
 		if r.Granted { // the request has been placed elsewhere or has ended
-			c.send(from, Message{ProgressUpdate: &ProgressUpdate{ReservationID: r.ReservationID, Endpoint: r.Load.Endpoint, Progress: Ended}})
+			c.send(from, Message{ProgressUpdate: &ProgressUpdate{ReservationID: r.ReservationID, Endpoint: r.Load.Endpoint, Life: r.Load.Life, Progress: Ended}})
 		}
 		return
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -49,7 +49,7 @@
 	if prefill {
 		return x.prefill(ctx, wd, action, target)
 	}
-	handle := x.handle
+	handle := x.relayer.held(x.handle)
 	x.handle = Handle{} // a handle can be used only once
 	if action.FromBackup {
 		handle = Handle{At: target.Address, ID: x.call.ID}
@@ -282,10 +282,18 @@
 // releaseTimeout bounds the call that releases a handle.
 const releaseTimeout = 500 * time.Millisecond
 
+// held returns a handle if the process that has given it out is still the one that the entry names, or none.
+func (r *Relayer) held(handle Handle) Handle {
+	if target, known := r.Target(handle.Owner); known && target.Incarnation != handle.Incarnation {
+		return Handle{}
+	}
+	return handle
+}
+
 // releaseHandle tells an engine that a handle will not be used. A handle that was used is already
 // released, and one whose release fails expires at the engine.
 func (x *exchange) releaseHandle(handle Handle) {
-	if handle.Owner == "" {
+	if handle = x.relayer.held(handle); handle.Owner == "" {
 		return
 	}
 	target, known := x.relayer.Target(handle.Owner)
@@ -330,7 +338,7 @@
 		if body, err = x.readWhole(response, maxBufferedBytes); err == nil {
 			x.returnAnswer(body)
 			x.handle, err = x.relayer.Dialect.DecodeHandle(target.Address, response.Status, body)
-			x.handle.Owner = action.Endpoint
+			x.handle.Owner, x.handle.Incarnation = action.Endpoint, target.Incarnation
 		}
 	}
 	if err == nil {
--- a/relayer/reports.go
+++ b/relayer/reports.go
@@ -31,6 +31,7 @@
 // reportCall is a call for a report. report and err are valid once done is closed.
 type reportCall struct {
 	done      chan struct{}
+	target    forwarder.Target
 	startedAt time.Time
 	endsAt    time.Time // until then the result is reused
 	report    detector.Report
@@ -58,8 +59,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	call := c.calls[target.Endpoint]
-	if call == nil || call == stale || now.After(call.endsAt) {
-		call = &reportCall{done: make(chan struct{}), startedAt: now, endsAt: now.Add(reportTimeout)}
+	if call == nil || call == stale || call.target != target || now.After(call.endsAt) {
+		call = &reportCall{done: make(chan struct{}), target: target, startedAt: now, endsAt: now.Add(reportTimeout)}
 		if c.calls == nil {
 			c.calls = map[namer.Endpoint]*reportCall{}
 		}
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -371,3 +371,35 @@
 	is.Equal(f.send("POST", "/engine/", "").body, events(3))
 	is.Equal(f.core.waitKinds(2), []decider.EventKind{decider.EventStarted, decider.EventFinished})
 }
+
+// Guards against a handle that is used, or given back, although the process that has given it out has ended: the one in its place
+// may give the same handle out for another prompt.
+func TestHandleEndsWithItsProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after namer.Incarnation
+		handle        string
+	}{"same process": {7, 7, "h1"}, "another process": {7, 8, ""}, "unknown": {0, 0, "h1"}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t, decider.Action{Kind: decider.ActionPrefill, Attempt: 1, Endpoint: "p"}, decider.Action{Kind: decider.ActionDispatch, Attempt: 1, Endpoint: "d"})
+			setIncarnation := func(i namer.Incarnation) {
+				target := f.targets["p"]
+				target.Incarnation = i
+				f.targets["p"] = target
+			}
+			f.endpoint("p", func(w http.ResponseWriter, r *http.Request) {
+				is.Equal(r.Method, http.MethodPost) // no release
+				setIncarnation(c.after)
+				io.WriteString(w, `"h1"`)
+			})
+			setIncarnation(c.before)
+			var handle string
+			f.endpoint("d", func(w http.ResponseWriter, r *http.Request) {
+				handle = r.Header.Get("X-Handle")
+				streamFrom(3, func() {})(w, r)
+			})
+			is.Equal(f.send("POST", "/engine/", "").body, events(3))
+			is.Equal(handle, c.handle)
+		})
+	}
+}
