registrar: a restored store brings back no earlier process

Cause: a server that started again under its name is listed by a store from a copy as the process before it, until it writes its entry again. The gateways took that entry: streams went on there although the process has another software version, and requests reached it although it had said that it is leaving.

Change: within the grace after a restore, an entry whose start is before the known one's keeps the known entry in force, and one whose start is not later than that of an endpoint that has left is not used. After the grace, what the store lists is believed.

--- a/registrar/departures_test.go
+++ b/registrar/departures_test.go
@@ -76,3 +76,36 @@
 		})
 	})
 }
+
+// Guards against an entry of a process that has ended, as a restored store lists it until the process in its place has written its
+// own again: streams would go on there at another software version, and requests reach it although it is leaving.
+func TestRestoredStoreBringsBackNoEarlierProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		known, restored string // with one character for each process under the name
+		at, later       int    // incarnation that is used just after the restore, and after the grace
+		usable          bool
+	}{
+		"started again":             {"ready@22", "ready@1", 2, 1, true},
+		"started again and leaving": {"draining@22", "ready@1", 2, 1, false},
+		"the same process":          {"ready@1", "ready@1", 1, 1, true},
+		"a later process":           {"ready@1", "ready@22", 2, 2, true},
+		"start unknown":             {"ready@22", "ready", 0, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				source, r := start(t)
+				source.restore(1, time.Time{}, map[string]uint64{"a": 11}, map[string]string{"a": "ready@1"})
+				time.Sleep(time.Second)
+				source.restore(1, time.Time{}, map[string]uint64{"a": 12}, map[string]string{"a": c.known})
+				time.Sleep(3 * time.Second)
+				source.restore(2, time.Now(), map[string]uint64{"a": 11}, map[string]string{"a": c.restored})
+				is.Equal(int(r.Entries()[0].Incarnation), c.at)
+				is.Equal(usable(r) == "a", c.usable)
+				time.Sleep(2200 * time.Millisecond)
+				synctest.Wait()
+				is.Equal(int(r.Entries()[0].Incarnation), c.later)
+			})
+		})
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -233,22 +233,27 @@
 }
 
 // decodeChanged decodes the entries that have changed. Within the grace after an outage, an entry that undoes a departure isn't
-// believed.
+// believed, nor one of a restored store that undoes the start of another process under the same name: the known one stays.
 func (s *entrySet) decodeChanged(now time.Time, listing *follower.Listing, decode func(storer.Object) (Entry, bool), grace bool) {
 	for key, object := range listing.Objects {
 		if s.versions[key] == object.Version {
 			continue
 		}
+		known, version := s.entries[s.names[key]], s.versions[key]
 		s.remove(key)
 		s.versions[key] = object.Version
 		entry, ok := decode(object)
 		if !ok {
 			continue
 		}
+		if grace && ofEarlierProcess(entry, known) && object.Version.Era() > version.Era() {
+			entry = known
+			s.departures.mark(key)
+		}
 		switch {
 		case grace && s.departures.contradicts(key, object.Version, entry.Incarnation):
 			entry.Leaving = true
-			s.departures.outdated[key] = true
+			s.departures.mark(key)
 		case entry.Leaving:
 			s.departures.record(now, key, object.Version, entry.Incarnation)
 		}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -57,7 +57,8 @@
 	if string(value) == "?" {
 		return registrar.Entry{}, errors.New("invalid entry")
 	}
-	return registrar.Entry{Name: namer.Endpoint(key), Leaving: string(value) == "draining"}, nil
+	state, incarnation, _ := strings.Cut(string(value), "@")
+	return registrar.Entry{Name: namer.Endpoint(key), Leaving: state == "draining", Incarnation: namer.Incarnation(len(incarnation))}, nil
 }
 
 func start(t *testing.T) (*fakeSource, *registrar.Registrar) {
