placer: an origin from an old entry is not believed

Cause: a daemon that starts after the store was restored may have the entry of a process that has ended, until the one in its place has written its own again. The streams that it begins there have the old entry's software version, and it tells the others so. If it is killed, they go on at a version that hasn't begun them, although the others knew the new process.

Change: a daemon that knew another version of an endpoint before a stream began there doesn't believe the notice. The stream is unknown then.

Result: TestOriginAtEndedProcessIsNotBelieved failed with the check off and passes.

--- a/placer/builds_test.go
+++ b/placer/builds_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -104,3 +105,31 @@
 	d.send(25*time.Second, "h-1", 7, true)
 	is.Equal(d.sentTo.Build, namer.Build("v1"))
 }
+
+// Guards against a stream that is joined from two builds because the daemon that began it had an old entry of its engine: it
+// started after the object API was restored from a backup, and had the build of a process that has ended. Another daemon knew.
+func TestOriginAtEndedProcessIsNotBelieved(t *testing.T) {
+	is := is.New(t)
+	d := newOriginDaemons(t, "h-1", "h-2")
+	d.addBuild()
+	d.configure(20 * time.Second)
+	current := d.view
+	current.Endpoints = slices.Clone(d.view.Endpoints)
+	current.Endpoints[0].Build, current.Endpoints[0].Incarnation = "v2", 2
+	d.cores["h-2"].Configure(epoch.Add(22*time.Second), current)
+	at := map[historian.StreamKey]namer.Endpoint{}
+	for key := range historian.StreamKey(20) {
+		d.send(24*time.Second, "h-1", key+1, false)
+		at[key+1] = d.sentTo.Name
+	}
+	delete(d.cores, "h-1")
+	outdated := 0
+	for key, began := range at {
+		d.send(25*time.Second, "h-2", key, true)
+		is.Equal(d.refused == classifier.StreamUnknown, began == current.Endpoints[0].Name)
+		if began == current.Endpoints[0].Name {
+			outdated++
+		}
+	}
+	is.True(outdated > 0)
+}
--- a/placer/core.go
+++ b/placer/core.go
@@ -196,7 +196,7 @@
 		}
 		if e == nil || e.view.Incarnation != view.Incarnation || e.view.Service != view.Service || e.view.Build != view.Build {
 			listed := e
-			e = c.newEndpoint(view, earlier)
+			e = c.newEndpoint(c.seconds(now), view, earlier)
 			created[e] = listed
 			delete(c.ledgers, view.Name)
 		} else if e.view.Role != view.Role {
--- a/placer/departed.go
+++ b/placer/departed.go
@@ -27,9 +27,9 @@
 
 // newEndpoint returns the state of an endpoint that takes the place of an earlier one with its name, which may be nil. If it is
 // still the same incarnation, its statements hold.
-func (c *Core) newEndpoint(view decider.EndpointView, earlier *endpoint) *endpoint {
+func (c *Core) newEndpoint(now namer.Seconds, view decider.EndpointView, earlier *endpoint) *endpoint {
 	phase := c.sharePhase(view.Name)
-	e := &endpoint{statements: statements{share: throttler.Share{Phase: phase}}, paced: paced{paceShare: pacer.Share{Phase: phase}}}
+	e := &endpoint{knownSince: now, statements: statements{share: throttler.Share{Phase: phase}}, paced: paced{paceShare: pacer.Share{Phase: phase}}}
 	if earlier != nil && earlier.view.Incarnation == view.Incarnation && view.Incarnation != 0 {
 		e.statements = earlier.statements
 	}
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -14,6 +14,8 @@
 	streamOrder int  // order in which decode engines receive long streams; the same at every daemon
 	express     bool // receives no prompts that would delay more urgent ones for long
 	running     int  // requests of this daemon
+	// knownSince is when this daemon learned of the incarnation and its build.
+	knownSince namer.Seconds
 	health      health
 	statements
 
--- a/placer/origin.go
+++ b/placer/origin.go
@@ -314,6 +314,9 @@
 		return
 	}
 	for _, n := range m.Known {
+		if c.contradicts(now, n) {
+			continue
+		}
 		p.origins.Record(now, n.Stream, historian.Origin{Build: n.Build, Endpoint: n.Endpoint, At: now - n.Age, Until: now + n.Left})
 		c.answerAsks(now, originAsk{m.Service, n.Stream}, n.Build)
 	}
@@ -330,6 +333,13 @@
 	}
 }
 
+// contradicts reports whether this daemon knew that an endpoint has another build before it began a stream. One of the daemons
+// has the entry of a process that has ended, for instance from a store that was restored from a backup just before it started.
+func (c *Core) contradicts(now namer.Seconds, n OriginNotice) bool {
+	e := c.endpoints[n.Endpoint]
+	return e != nil && e.view.Build != n.Build && now-n.Age >= e.knownSince
+}
+
 // answerAsks places the requests that wait for the origin of a stream.
 func (c *Core) answerAsks(now namer.Seconds, ask originAsk, build namer.Build) {
 	waiting := c.originAsks[ask]
