placer: retract the origin of a stream when its build becomes uncertain

Cause: a daemon that sees an endpoint start again with another version forgets which version wrote the streams that began there lately, but the daemons that it has told of them didn't. One that was cut off from the store went on believing the old entry, and answered with the version of the process before.

Change: the keys of these streams are retracted at the daemons that were told, and a daemon that contradicts a notice retracts it at its sender.

Result: TestUncertainOriginIsRetracted failed without the message and passes, TestOriginAtEndedProcessIsNotBelieved now asks the daemon that began the stream as well.

--- a/historian/origins.go
+++ b/historian/origins.go
@@ -1,6 +1,8 @@
 package historian
 
 import (
+	"slices"
+
 	"apricotspool/namer"
 )
 
@@ -62,15 +64,21 @@
 	return origin, known && now <= origin.Until
 }
 
-// Forget forgets the streams that an endpoint began since a time: their build isn't certain.
-func (o *Origins) Forget(endpoint namer.Endpoint, since namer.Seconds) {
+// Forget forgets the streams that an endpoint began since a time, whose build isn't certain, and returns their keys.
+func (o *Origins) Forget(endpoint namer.Endpoint, since namer.Seconds) (forgotten []StreamKey) {
 	for key, origin := range o.known {
 		if origin.Endpoint == endpoint && origin.At >= since {
 			delete(o.known, key)
+			forgotten = append(forgotten, key)
 		}
 	}
+	slices.Sort(forgotten)
+	return forgotten
 }
 
+// Drop forgets a stream.
+func (o *Origins) Drop(key StreamKey) { delete(o.known, key) }
+
 // All calls yield for each stream whose origin is known, in no order.
 func (o *Origins) All(now namer.Seconds, yield func(StreamKey, Origin)) {
 	for key, origin := range o.known {
--- a/placer/builds_test.go
+++ b/placer/builds_test.go
@@ -122,14 +122,39 @@
 		d.send(24*time.Second, "h-1", key+1, false)
 		at[key+1] = d.sentTo.Name
 	}
-	delete(d.cores, "h-1")
 	outdated := 0
 	for key, began := range at {
-		d.send(25*time.Second, "h-2", key, true)
-		is.Equal(d.refused == classifier.StreamUnknown, began == current.Endpoints[0].Name)
+		for _, host := range []namer.Host{"h-2", "h-1"} { // the daemon that began it is told
+			d.send(25*time.Second, host, key, true)
+			is.Equal(d.refused == classifier.StreamUnknown, began == current.Endpoints[0].Name)
+		}
 		if began == current.Endpoints[0].Name {
 			outdated++
 		}
 	}
 	is.True(outdated > 0)
 }
+
+// Guards against a stream that is joined from two builds because a daemon that is cut off from the object API still has the origin
+// that another one has told it and then learned to be wrong.
+func TestUncertainOriginIsRetracted(t *testing.T) {
+	is := is.New(t)
+	d := newOriginDaemons(t, "h-1", "h-2")
+	d.addBuild()
+	d.configure(20 * time.Second)
+	at := map[historian.StreamKey]namer.Endpoint{}
+	for key := range historian.StreamKey(60) {
+		d.send(24*time.Second, "h-1", key+1, false)
+		at[key+1] = d.sentTo.Name
+	}
+	current := d.view
+	current.Endpoints = slices.Clone(d.view.Endpoints)
+	current.Endpoints[0].Build, current.Endpoints[0].Incarnation = "v2", 2
+	d.cores["h-1"].Configure(epoch.Add(25*time.Second), current)
+	d.tick(25*time.Second + 10*time.Millisecond)
+	delete(d.cores, "h-1")
+	for key, began := range at {
+		d.send(25500*time.Millisecond, "h-2", key, true)
+		is.Equal(d.refused == classifier.StreamUnknown, began == current.Endpoints[0].Name)
+	}
+}
--- a/placer/core.go
+++ b/placer/core.go
@@ -69,8 +69,9 @@
 	builds         historian.Builds
 	origins        historian.Origins
 	usuals         map[namer.Role]*pacer.Usual
-	only           bool // all streams are known to have one build
-	originsUntold  bool // they no longer are
+	only           bool                  // all streams are known to have one build
+	originsUntold  bool                  // they no longer are
+	retracted      []historian.StreamKey // whose build is uncertain, and that the others may have been told of
 }
 
 // request is a request that has not been refused, finished or cancelled.
--- a/placer/endpoint.go
+++ b/placer/endpoint.go
@@ -16,7 +16,7 @@
 	running     int  // requests of this daemon
 	// knownSince is when this daemon learned of the incarnation and its build.
 	knownSince namer.Seconds
-	health      health
+	health     health
 	statements
 
 	load          Load // latest summary from the ledger owner; engines only
--- a/placer/message.go
+++ b/placer/message.go
@@ -33,6 +33,8 @@
 	// Asked is a stream whose build the sender wants to know, Answered one that was asked for; 0 for none.
 	Asked, Answered historian.StreamKey
 	Build           namer.Build // of Answered; empty if the sender doesn't know it
+	// Retracted are streams whose build turned out to be uncertain.
+	Retracted []historian.StreamKey
 }
 
 // OriginNotice is what began a stream.
--- a/placer/origin.go
+++ b/placer/origin.go
@@ -141,9 +141,11 @@
 	}
 }
 
-// tellOrigins tells the other daemons of the streams that have begun while all had one build.
+// tellOrigins tells the other daemons of the streams that have begun while all had one build, and of those whose build has
+// become uncertain.
 func (c *Core) tellOrigins(now namer.Seconds) {
 	for _, p := range c.pools {
+		c.retractOrigins(p)
 		if p.originsUntold {
 			p.originsUntold = false
 			c.tellAllOrigins(now, p)
@@ -155,7 +157,7 @@
 // old or the new process wrote the events since its restart is not known.
 func (c *Core) forgetOrigins(now namer.Seconds, p *pool, old *endpoint) {
 	since := now - restartDoubt*p.builds.Settling
-	p.origins.Forget(old.view.Name, since)
+	p.retracted = append(p.retracted, p.origins.Forget(old.view.Name, since)...)
 	for _, q := range c.requests {
 		if q.origin == old && q.originAt >= since {
 			q.originLost = true
@@ -163,6 +165,23 @@
 	}
 }
 
+// retractOrigins has the other daemons forget streams that they may have been told of. One that is cut off from the object API
+// would go on believing the old entry.
+func (c *Core) retractOrigins(p *pool) {
+	batches := map[namer.Host][]historian.StreamKey{}
+	for _, key := range p.retracted {
+		for _, m := range c.originHolders(key) {
+			batches[m.Host] = append(batches[m.Host], key)
+		}
+	}
+	for host, keys := range batches {
+		for batch := range slices.Chunk(keys, maxOriginsPerMessage) {
+			c.send(host, Message{Origins: &Origins{Service: p.service, Retracted: batch}})
+		}
+	}
+	p.retracted = nil
+}
+
 // recordOrigin records what wrote the first event of the request's stream.
 func (c *Core) recordOrigin(now namer.Seconds, q *request) {
 	if q.origin == nil {
@@ -313,13 +332,19 @@
 	if p == nil {
 		return
 	}
+	var contradicted []historian.StreamKey
 	for _, n := range m.Known {
 		if c.contradicts(now, n) {
+			contradicted = append(contradicted, n.Stream)
 			continue
 		}
 		p.origins.Record(now, n.Stream, historian.Origin{Build: n.Build, Endpoint: n.Endpoint, At: now - n.Age, Until: now + n.Left})
 		c.answerAsks(now, originAsk{m.Service, n.Stream}, n.Build)
 	}
+	if len(contradicted) > 0 {
+		c.send(from, Message{Origins: &Origins{Service: m.Service, Retracted: contradicted}})
+	}
+	c.dropOrigins(p, m.Retracted)
 	if m.Asked != 0 {
 		build, _ := c.buildOf(now, p, m.Asked)
 		c.send(from, Message{Origins: &Origins{Service: m.Service, Answered: m.Asked, Build: build}})
@@ -333,6 +358,21 @@
 	}
 }
 
+// dropOrigins forgets streams whose build turned out to be uncertain. Requests for them don't go on elsewhere.
+func (c *Core) dropOrigins(p *pool, retracted []historian.StreamKey) {
+	if len(retracted) == 0 {
+		return
+	}
+	for _, key := range retracted {
+		p.origins.Drop(key)
+	}
+	for _, q := range c.requests {
+		if q.pool == p && q.origin != nil && slices.Contains(retracted, q.Stream) {
+			q.originLost = true
+		}
+	}
+}
+
 // contradicts reports whether this daemon knew that an endpoint has another build before it began a stream. One of the daemons
 // has the entry of a process that has ended, for instance from a store that was restored from a backup just before it started.
 func (c *Core) contradicts(now namer.Seconds, n OriginNotice) bool {
