placer: tell the others of a process that has been replaced

Cause: a daemon that learns from an entry that an endpoint has started again with another version told nobody. One that is cut off from the store let streams go on at the endpoint under the old entry's version until it could read the new one.

Change: it tells the others of the end of the process before, as a daemon does that has seen a connection refused.

Result: TestUncertainOriginIsRetracted now also checks that the cut daemon begins no stream there; tests of placer pass.

--- a/placer/builds_test.go
+++ b/placer/builds_test.go
@@ -153,6 +153,10 @@
 	d.cores["h-1"].Configure(epoch.Add(25*time.Second), current)
 	d.tick(25*time.Second + 10*time.Millisecond)
 	delete(d.cores, "h-1")
+	for key := range historian.StreamKey(20) {
+		d.send(25500*time.Millisecond, "h-2", 100+key, false)
+		is.True(d.sentTo.Name != current.Endpoints[0].Name) // whose version h-2 doesn't know
+	}
 	for key, began := range at {
 		d.send(25500*time.Millisecond, "h-2", key, true)
 		is.Equal(d.refused == classifier.StreamUnknown, began == current.Endpoints[0].Name)
--- a/placer/core.go
+++ b/placer/core.go
@@ -36,6 +36,7 @@
 	byScope   [scopes][]*member
 	endpoints map[namer.Endpoint]*endpoint
 	departed  departed
+	replaced  []ProcessEnd // by processes with another build, and not told to the others yet
 	pools     map[namer.Service]*pool
 	requests  map[namer.StreamID]*request
 	actions   []decider.Action
--- a/placer/origin.go
+++ b/placer/origin.go
@@ -141,9 +141,13 @@
 	}
 }
 
-// tellOrigins tells the other daemons of the streams that have begun while all had one build, and of those whose build has
-// become uncertain.
+// tellOrigins tells the other daemons of the streams that have begun while all had one build, of those whose build has become
+// uncertain, and of the processes that another one with another build has taken the place of.
 func (c *Core) tellOrigins(now namer.Seconds) {
+	for i := range c.replaced {
+		c.broadcast(Message{ProcessEnd: &c.replaced[i]})
+	}
+	c.replaced = nil
 	for _, p := range c.pools {
 		c.retractOrigins(p)
 		if p.originsUntold {
@@ -158,6 +162,7 @@
 func (c *Core) forgetOrigins(now namer.Seconds, p *pool, old *endpoint) {
 	since := now - restartDoubt*p.builds.Settling
 	p.retracted = append(p.retracted, p.origins.Forget(old.view.Name, since)...)
+	c.replaced = append(c.replaced, ProcessEnd{Endpoint: old.view.Name, Incarnation: old.view.Incarnation})
 	for _, q := range c.requests {
 		if q.origin == old && q.originAt >= since {
 			q.originLost = true
