registrar: what a restored store contradicts isn't believed in an outage

Cause: an entry from a copy that contradicts what is known was believed 2.1 s after the restore. If the store went away again in this time, nothing could be written again, and requests went to servers that were leaving.

Change: it is believed once the object API has confirmed it as of 2.1 s after the restore.

Result: TestRestoredStoreBringsBackNoDepartedEndpoint, row "it isn't believed in the next outage", failed before and passes.

--- a/follower/confirmation.go
+++ b/follower/confirmation.go
@@ -41,6 +41,13 @@
 	return f.confirmation
 }
 
+// Confirmed returns the time as of which the object API last confirmed the replica; the zero time before the first time.
+func (f *Follower) Confirmed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
 // Age returns the time since the object API last confirmed the replica.
 func (f *Follower) Age() time.Duration {
 	f.init()
--- a/registrar/departures_test.go
+++ b/registrar/departures_test.go
@@ -64,6 +64,17 @@
 			is.Equal(used(), "back draining gone serves")
 		})
 	})
+	t.Run("it isn't believed in the next outage", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			source, used := before(t)
+			source.restore(2, time.Now(), restored, ready)
+			time.Sleep(1500 * time.Millisecond)
+			source.goAway()
+			time.Sleep(5 * time.Second)
+			is.Equal(used(), "back serves")
+		})
+	})
 	t.Run("an entry that is removed later is gone", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -20,10 +20,15 @@
 // is gone.
 const reregistrationGrace = 2100 * time.Millisecond
 
+// confirmationPoll is how often it is checked whether the object API has confirmed entries that contradict what is known.
+const confirmationPoll = 50 * time.Millisecond
+
 // ListingSource provides listings of the entries. follower.Follower implements it.
 type ListingSource interface {
 	Listing() *follower.Listing
 	Changed() <-chan struct{}
+	// Confirmed returns the time as of which the object API last confirmed the listing.
+	Confirmed() time.Time
 }
 
 // Registrar maintains the set of registered endpoints. Set the exported fields before Run.
@@ -95,7 +100,7 @@
 		var recheckTimer <-chan time.Time
 		if listing := r.Source.Listing(); listing != nil {
 			before := r.set.outageEnd
-			recheckAfter := r.set.apply(time.Now(), listing, r.decode)
+			recheckAfter := r.set.apply(time.Now(), r.Source.Confirmed(), listing, r.decode)
 			if !r.set.outageEnd.Equal(before) {
 				r.logOutage()
 			}
@@ -201,9 +206,9 @@
 	departures departures
 }
 
-// apply updates the set to a listing. It returns the time after which to apply the listing again, or 0
-// if that is not needed.
-func (s *entrySet) apply(now time.Time, listing *follower.Listing, decode func(storer.Object) (Entry, bool)) time.Duration {
+// apply updates the set to a listing, which the object API has confirmed as of a time. It returns the time after which to apply
+// the listing again, or 0 if that is not needed.
+func (s *entrySet) apply(now, confirmed time.Time, listing *follower.Listing, decode func(storer.Object) (Entry, bool)) time.Duration {
 	if s.entries == nil {
 		s.entries, s.versions, s.names = map[namer.Endpoint]Entry{}, map[string]storer.Version{}, map[string]namer.Endpoint{}
 	}
@@ -212,11 +217,16 @@
 		s.outageEnd, s.expired = listing.OutageEnd, map[string]bool{}
 	}
 	graceLeft := max(0, reregistrationGrace-now.Sub(s.outageEnd))
-	if graceLeft == 0 {
+	// In another outage nothing is written again, so that what contradicts is only believed once it has stayed for so long.
+	stays := confirmed.Sub(s.outageEnd) >= reregistrationGrace
+	if stays {
 		s.believeOutdated(listing)
 	}
-	s.decodeChanged(now, listing, decode, graceLeft > 0)
-	if s.dropMissing(now, listing, outageEnded, graceLeft > 0) || len(s.departures.outdated) > 0 {
+	s.decodeChanged(now, listing, decode, !stays)
+	switch kept := s.dropMissing(now, listing, outageEnded, graceLeft > 0); {
+	case len(s.departures.outdated) > 0:
+		return max(graceLeft, confirmationPoll)
+	case kept:
 		return graceLeft
 	}
 	return 0
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -22,6 +22,7 @@
 // fakeSource is a registrar.ListingSource whose listing is set by a test.
 type fakeSource struct {
 	mu      sync.Mutex
+	away    time.Time // since when the object API confirms nothing; zero if it does
 	current *follower.Listing
 	changed chan struct{}
 }
@@ -38,6 +39,22 @@
 	return s.changed
 }
 
+func (s *fakeSource) Confirmed() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.away.IsZero() {
+		return s.away
+	}
+	return time.Now()
+}
+
+// goAway makes the object API confirm nothing more.
+func (s *fakeSource) goAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = time.Now()
+}
+
 // set publishes a listing of entries written as NAME=STATE, and waits until it has been applied.
 func (s *fakeSource) set(outageEnd time.Time, entries ...string) {
 	next := &follower.Listing{Objects: map[string]storer.Object{}, OutageEnd: outageEnd}
