placer: a restored store doesn't confirm an endpoint's process

Cause: an endpoint whose process has ended takes streams again once its entry is confirmed as of the staleness bound after the end. A store from a copy confirms the entry of the ended process as well.

Change: it isn't confirmed while a restored store may lack entries.

--- a/placer/processend.go
+++ b/placer/processend.go
@@ -30,8 +30,8 @@
 
 // confirmProcesses notices which endpoints would have another entry by now if another process had taken their place.
 func (c *Core) confirmProcesses(now namer.Seconds) {
-	if !c.confirmation.Known {
-		return
+	if !c.confirmation.Known || c.confirmation.Unbroken < 0 {
+		return // a restored object API lists the process that has ended, perhaps
 	}
 	confirmed := now - namer.SecondsOf(c.confirmation.Age)
 	for _, e := range c.endpoints {
