placer: no stream goes on before a restored store lists the new processes

Cause: a daemon that starts after the store was restored reads the entries of the copy, some of which may be of ended processes with another software version. Nobody alive may know better after a loss of power. Streams went on at such an endpoint until its entry was written again.

Change: such a daemon lets no stream go on, and refuses take-ups with the rest of the time as Retry-After, until the staleness bound and two seconds after the restore, or until a list of versions shows that the store is whole. New streams begin at once. A daemon that has lived through the restore, or starts beside a reader that has, isn't concerned.

Result: TestNoStreamGoesOnBeforeEntriesAreSettled, TestFirst.

--- a/assembler/gatewayfleet.go
+++ b/assembler/gatewayfleet.go
@@ -143,12 +143,14 @@
 	if !replica.Known || applied != replica.Changes || built == nil || built.entries != entries || built.lists != lists {
 		return decider.Confirmation{} // the core lacks a change
 	}
-	since := replica.UnbrokenSince
+	since, unsettled := replica.UnbrokenSince, false
 	if !f.archivist.Attested(replica.Eras) {
 		since = max(since, replica.SettledAt)
+		unsettled = replica.Eras.First() && instant < replica.SettledAt
 	}
 	return decider.Confirmation{
-		Known: true, Generation: built.fleet, Age: instant.Sub(replica.At), Unbroken: instant.Sub(since),
+		Unsettled: unsettled,
+		Known:     true, Generation: built.fleet, Age: instant.Sub(replica.At), Unbroken: instant.Sub(since),
 		Gaps: replica.Gaps, Gap: replica.Gap, ListAge: instant.Sub(read),
 	}
 }
--- a/attester/attester.go
+++ b/attester/attester.go
@@ -23,9 +23,10 @@
 // Record is what a process knows of the eras of the object API. The zero value has read nothing. Its instants are those of one
 // clock of the process.
 type Record struct {
-	read bool
-	era  storer.Era
-	by   timekeeper.Instant
+	read  bool
+	first bool // see First
+	era   storer.Era
+	by    timekeeper.Instant
 }
 
 // Begin records that an era had begun by an instant: when the process received a response of that era, or when another process
@@ -35,13 +36,18 @@
 func (r *Record) Begin(era storer.Era, by timekeeper.Instant) (restored bool) {
 	switch {
 	case !r.read || era > r.era:
-		*r, restored = Record{read: true, era: era, by: by}, era > 0
+		first := !r.read || (r.first && by < r.by.Add(RewriteTime))
+		*r, restored = Record{read: true, first: first, era: era, by: by}, era > 0
 	case era == r.era:
 		r.by = min(r.by, by)
 	}
 	return restored
 }
 
+// First reports whether the newest era is the first that the process has read, or each one before it lasted for less than
+// RewriteTime: it has seen nothing of what the restores have lost.
+func (r Record) First() bool { return r.first }
+
 // Era returns the newest era; 0 if nothing was read, or the store names none.
 func (r Record) Era() storer.Era { return r.era }
 
--- a/attester/attester_test.go
+++ b/attester/attester_test.go
@@ -51,6 +51,24 @@
 	}
 }
 
+// Guards against a process that takes what it has read between two restores for what was there before them.
+func TestFirst(t *testing.T) {
+	is := is.New(t)
+	var r attester.Record
+	at := timekeeper.Instant(time.Minute)
+	is.True(!r.First())
+	r.Begin(0, at)
+	is.True(r.First())
+	r.Begin(1, at.Add(attester.RewriteTime-1))
+	is.True(r.First())
+	r.Begin(2, at.Add(2*attester.RewriteTime-2))
+	is.True(r.First())
+	r.Begin(3, at.Add(3*attester.RewriteTime-2))
+	is.True(!r.First())
+	r.Begin(4, at.Add(3*attester.RewriteTime-1))
+	is.True(!r.First())
+}
+
 // Guards against an object from a backup that is taken for one that was written since the restore.
 func TestAttested(t *testing.T) {
 	is := is.New(t)
--- a/decider/confirmation.go
+++ b/decider/confirmation.go
@@ -14,4 +14,7 @@
 	Gaps     uint64        // counts such gaps
 	Gap      time.Duration // the length of the last one
 	ListAge  time.Duration // since the lists of builds were read
+	// Unsettled says that the process has started since the object API was restored, and that entries of ended processes may be
+	// listed there yet.
+	Unsettled bool
 }
--- a/placer/builds_test.go
+++ b/placer/builds_test.go
@@ -162,3 +162,26 @@
 		is.Equal(d.refused == classifier.StreamUnknown, began == current.Endpoints[0].Name)
 	}
 }
+
+// Guards against a stream that goes on at an engine which a restored object API lists with the build of a process that has ended, at
+// daemons that have started since; and against new streams that wait, and a caller that is told to come back too early.
+func TestNoStreamGoesOnBeforeEntriesAreSettled(t *testing.T) {
+	is := is.New(t)
+	d := newOriginDaemons(t, "h-1", "h-2")
+	d.addBuild()
+	d.settles, d.started = 24*time.Second, true
+	d.configure(20 * time.Second)
+	d.send(21*time.Second, "h-1", 7, false)
+	began := d.sentTo.Build
+	is.True(began != "")
+	for _, host := range []namer.Host{"h-1", "h-2"} {
+		d.send(22*time.Second, host, 7, true)
+		is.Equal(d.refused, classifier.StreamUnknown)
+		is.True(d.retry >= 1500*time.Millisecond && d.retry <= 2500*time.Millisecond) // 2 s, spread by a quarter
+	}
+	d.confirm(24500 * time.Millisecond)
+	for _, host := range []namer.Host{"h-1", "h-2"} {
+		d.send(25*time.Second, host, 7, true)
+		is.Equal(d.sentTo.Build, began)
+	}
+}
--- a/placer/core.go
+++ b/placer/core.go
@@ -72,6 +72,7 @@
 	usuals         map[namer.Role]*pacer.Usual
 	only           bool                  // all streams are known to have one build
 	originsUntold  bool                  // they no longer are
+	unsettled      bool                  // see decider.Confirmation
 	retracted      []historian.StreamKey // whose build is uncertain, and that the others may have been told of
 }
 
--- a/placer/origin.go
+++ b/placer/origin.go
@@ -47,7 +47,7 @@
 	switch {
 	case e.view.Role == namer.RolePrefill:
 		return true
-	case q.originLost || (e.perhapsReplaced && q.hasStream()):
+	case q.originLost || (e.perhapsReplaced && q.hasStream()) || (q.pool.unsettled && q.build != ""):
 		return false
 	}
 	return q.build == "" || e.view.Build == q.build
@@ -87,6 +87,9 @@
 		}
 	}
 	c.confirmation, c.confirmedAt = confirmation, now
+	for _, p := range c.pools {
+		p.unsettled = confirmation.Unsettled
+	}
 	c.confirmProcesses(now)
 }
 
@@ -305,6 +308,10 @@
 // findOrigin finds the build of a stream that a caller takes up. It reports false if the request waits for other daemons or
 // has been refused.
 func (c *Core) findOrigin(now namer.Seconds, q *request) bool {
+	if q.pool.unsettled {
+		c.refuse(now, q, classifier.StreamUnknown, c.unknownRetry(now, q))
+		return false
+	}
 	if build, known := c.buildOf(now, q.pool, q.Stream); known {
 		q.build = build
 		return true
@@ -438,9 +445,9 @@
 }
 
 // unknownRetry returns the retry delay of a request whose stream isn't known. If one build serves, its streams are known as soon
-// as a restored object API can't lack another one any more.
+// as a restored object API can't lack another one any more. A process that has started since the restore lets none go on before.
 func (c *Core) unknownRetry(now namer.Seconds, q *request) time.Duration {
-	if q.pool == nil || !c.confirmation.Known || len(q.pool.builds.Known(now)) != 1 {
+	if q.pool == nil || !c.confirmation.Known || (len(q.pool.builds.Known(now)) != 1 && !q.pool.unsettled) {
 		return noEndpointRetry
 	}
 	unbroken := namer.SecondsOf(c.confirmation.Unbroken) + now - c.confirmedAt
--- a/placer/origin_test.go
+++ b/placer/origin_test.go
@@ -571,6 +571,7 @@
 	retry   time.Duration        // Retry-After of the last refusal
 	age     time.Duration        // of the fleet at all daemons
 	settles time.Duration        // when nothing is missing any more that a restore of the object API has lost
+	started bool                 // all daemons have started since the restore
 }
 
 func newOriginDaemons(t *testing.T, hosts ...namer.Host) *originDaemons {
@@ -596,7 +597,7 @@
 // confirmation is that of a fleet that has been followed from the beginning, or since it has settled.
 func (d *originDaemons) confirmation(at time.Duration) decider.Confirmation {
 	if d.settles > 0 {
-		return decider.Confirmation{Known: true, Age: d.age, Unbroken: at - d.settles}
+		return decider.Confirmation{Known: true, Age: d.age, Unbroken: at - d.settles, Unsettled: d.started && at < d.settles}
 	}
 	return decider.Confirmation{Known: true, Age: d.age, Unbroken: at + time.Second}
 }
--- a/relayer/dialect.go
+++ b/relayer/dialect.go
@@ -77,13 +77,13 @@
 
 // Handle identifies a prompt's KV cache that one engine holds for another.
 type Handle struct {
-	Owner  namer.Endpoint // the engine that holds the cache; empty if the handle need not be released
+	Owner namer.Endpoint // the engine that holds the cache; empty if the handle need not be released
 	// Incarnation is that of the engine's entry when the prompt was processed. A process that has taken its place may give the
 	// handle out again, for another prompt.
 	Incarnation namer.Incarnation
-	At     netip.AddrPort // address of that engine
-	ID     string
-	Tokens namer.Tokens
+	At          netip.AddrPort // address of that engine
+	ID          string
+	Tokens      namer.Tokens
 }
 
 // Verdict is what a response says about the execution of its request.
