--- a/activator/activator_test.go
+++ b/activator/activator_test.go
@@ -110,6 +110,10 @@
 }
 
 func startDaemon(t *testing.T, source storer.Reader, from follower.Readers) *daemon {
+	return startAttested(t, source, from, nil)
+}
+
+func startAttested(t *testing.T, source storer.Reader, from follower.Readers, attested func(attester.Record) bool) *daemon {
 	d := &daemon{}
 	begin := time.Now()
 	clock := func() timekeeper.Instant {
@@ -119,7 +123,7 @@
 	}
 	d.follower = &follower.Follower{Source: source, Prefix: configKey, StalenessBound: 3 * time.Second, Clock: clock, Readers: from}
 	d.Activator = &activator.Activator{
-		Source: d.follower, Key: configKey, Decode: decode, Clock: clock, Log: zerolog.New(&d.log),
+		Source: d.follower, Key: configKey, Decode: decode, Clock: clock, Log: zerolog.New(&d.log), Attested: attested,
 		Bounds: authenticator.Bounds{Revocation: 5 * time.Second, Staleness: 3 * time.Second},
 	}
 	ctx, stop := context.WithCancel(t.Context())
@@ -392,8 +396,7 @@
 				time.Sleep(10 * time.Second)
 				d := startDaemon(t, s, readers{reader: reader.follower})
 				if attested {
-					d = startDaemon(t, s, nil)
-					d.Attested = func(r attester.Record) bool { return r.Attested(2) }
+					d = startAttested(t, s, nil, func(r attester.Record) bool { return r.Attested(2) })
 				}
 				time.Sleep(100 * time.Millisecond)
 				is.Equal(d.check("a"), served)
