receiver, forwarder: a reset that the writer is told of is no end of a response

Callers got a part of a response as a whole one, with a success: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once, to the system call that asks first. A long request is written by a goroutine of its own. When its write took ECONNRESET, the concurrent read of the response got 0 bytes, which is the end of a body that has no length. The writer then closed the connection, but the reader had already called the response whole.

Ruled out: calling each response without a length broken if the request isn't written completely; it refuses the whole response of an endpoint that answers early and ends in order.

--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"apricotspool/receiver"
 )
 
 const (
@@ -43,7 +45,7 @@
 
 // conn is a connection to an endpoint, owned by one call at a time.
 type conn struct {
-	net.Conn
+	*receiver.Conn
 	client    *Client
 	address   netip.AddrPort
 	reader    *bufio.Reader
@@ -58,12 +60,15 @@
 }
 
 func newConn(c *Client, address netip.AddrPort, raw net.Conn) *conn {
-	n := &conn{Conn: raw, client: c, address: address}
-	n.limiter = &responseLimiter{reader: raw}
+	n := &conn{Conn: &receiver.Conn{Conn: raw}, client: c, address: address}
+	n.limiter = &responseLimiter{reader: n.Conn}
 	n.reader = bufio.NewReaderSize(n.limiter, readBufferBytes)
 	return n
 }
 
+// raw returns the connection that Client.Dial has opened.
+func (n *conn) raw() net.Conn { return n.Conn.Conn }
+
 // responseLimiter limits the bytes that are read for a call, and those of a response header while it is parsed.
 type responseLimiter struct {
 	reader       io.Reader
@@ -116,9 +121,9 @@
 
 // resetOnClose makes the end of the connection reset it instead of sending what still waits.
 func (n *conn) resetOnClose() error {
-	socket, ok := n.Conn.(interface{ SetLinger(sec int) error })
+	socket, ok := n.raw().(interface{ SetLinger(sec int) error })
 	if !ok {
-		return errors.Errorf("connection of type %T can't be reset", n.Conn)
+		return errors.Errorf("connection of type %T can't be reset", n.raw())
 	}
 	return errors.Wrap(socket.SetLinger(0), "make closing reset the connection")
 }
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -200,7 +200,7 @@
 
 // reusable reports whether an idle connection is still open and has received no unsolicited bytes.
 func (n *conn) reusable() bool {
-	raw, ok := n.Conn.(syscall.Conn)
+	raw, ok := n.raw().(syscall.Conn)
 	if !ok {
 		return true
 	}
