forwarder: an early response that ends in order survives the failed write

Callers got 502, or a repeat, in place of a whole response: an endpoint answered a long request early, ended its side and closed the connection in order, as one that refuses an upload does.

Cause: what still arrives at a closed connection is answered with a reset. The goroutine that wrote the request then closed the connection at once, with the response unread in the kernel's buffer.

Change: a write that fails because the connection has failed leaves it to the reader, which reads what came before and then sees how the connection ended (receiver.Conn). Failures of the request's own body still close it at once. The connection isn't used for another call, since the call isn't written.

--- a/forwarder/conn.go
+++ b/forwarder/conn.go
@@ -326,10 +326,13 @@
 	return err
 }
 
-// fail records the error and discards the connection: no other call may follow an incomplete one on it.
+// fail records the error and discards the connection: no other call may follow an incomplete one on it. If the connection itself
+// has failed, the response's reader discards it, because what the endpoint sent before the failure can still be read.
 func (w *requestWriter) fail(err error) {
 	w.err = err
-	w.conn.discard()
+	if !w.conn.WriteFailed() {
+		w.conn.discard()
+	}
 }
 
 // nothingSent reports whether certainly no byte of the call was sent.
--- a/receiver/conn.go
+++ b/receiver/conn.go
@@ -69,3 +69,10 @@
 // peerEndedFirst reports whether the peer had ended its side before it reset the connection. The kernel then reports EPIPE
 // instead of ECONNRESET, and keeps what came before the end. The caller holds c.mu.
 func (c *Conn) peerEndedFirst() bool { return errors.Is(c.writeErr, syscall.EPIPE) }
+
+// WriteFailed reports whether a Write has failed. What the peer has sent before can still be read.
+func (c *Conn) WriteFailed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeErr != nil
+}
--- a/relayer/early_test.go
+++ b/relayer/early_test.go
@@ -81,7 +81,7 @@
 }
 
 // Guards against refusing, or holding back, the early response of a sound endpoint that ends the connection in order, whether
-// it reads the rest of the request or not.
+// it reads the rest of the request, ignores it or closes the connection.
 func TestEarlyResponseThatEndsInOrderIsWhole(t *testing.T) {
 	for name, end := range map[string]func(out *net.TCPConn, received <-chan struct{}){
 		"reads on": func(out *net.TCPConn, _ <-chan struct{}) {
@@ -92,6 +92,9 @@
 			out.CloseWrite()
 			<-received // the caller has its response first
 		},
+		"closes": func(out *net.TCPConn, _ <-chan struct{}) {
+			out.CloseWrite() // what arrives afterwards is answered with a reset
+		},
 	} {
 		for _, kind := range []string{"unsafe", "stream"} {
 			t.Run(kind+" "+name, func(t *testing.T) {
