receiver: clients of net/http tell a reset from the end of a response

The product's own requests on these ways have 1 MB at most and mostly fit into the kernel's buffers; no case was seen there.

Change: receiver.Dial opens connections that are receiver.Conns, for each of these clients. Not for calls between daemons: HTTP/2 marks the end of a response in its frames.

--- a/commander/operator.go
+++ b/commander/operator.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"apricotspool/loader"
+	"apricotspool/receiver"
 )
 
 // operatorTimeout bounds one call to a daemon's operators' listener. It exceeds the time for which the daemon
@@ -82,7 +83,7 @@
 }
 
 func (o *operatorFlags) client() (*http.Client, string, error) {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: operatorTimeout}).DialContext}
+	transport := &http.Transport{DialContext: receiver.Dial((&net.Dialer{Timeout: operatorTimeout}).DialContext)}
 	client := &http.Client{Transport: transport}
 	if o.authority == "" {
 		return client, "http", nil
--- a/generator/client.go
+++ b/generator/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"apricotspool/namer"
+	"apricotspool/receiver"
 )
 
 // Extension headers of the engine protocol, described in docs/engine-protocol.md.
@@ -51,7 +52,7 @@
 // directClient connects without a proxy. A daemon can have a few hundred streams on one engine, and
 // connections beyond the limit on idle ones would be closed after each stream.
 var directClient = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	DialContext:         receiver.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
 	MaxIdleConnsPerHost: 512,
 	IdleConnTimeout:     time.Minute,
 	DisableCompression:  true,
--- a/lister/client.go
+++ b/lister/client.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"apricotspool/decoder"
+	"apricotspool/receiver"
 )
 
 // DefaultTimeout bounds one call for the list.
@@ -30,7 +31,7 @@
 var _ Lister = (*Client)(nil)
 
 var directClient = &http.Client{Transport: &http.Transport{
-	DialContext:     (&net.Dialer{Timeout: time.Second}).DialContext,
+	DialContext:     receiver.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
 	IdleConnTimeout: time.Minute,
 }}
 
