receiver: say what the limits of a head count

Cause: read as a newcomer, the loop that reads a head hid its two ends, and the limits didn't say what they include.

Result: receiver and forwarder pass with -race, and the relayer's tests of early, cut, unframed and malformed responses twice.

--- a/receiver/head.go
+++ b/receiver/head.go
@@ -13,8 +13,8 @@
 
 // Limits bounds the head of a response and its trailer section, each by itself.
 type Limits struct {
-	Bytes int
-	Lines int
+	Bytes int // with the ends of lines
+	Lines int // with the status line, without the empty line at the end
 }
 
 // Errors of ReadResponse and of the bodies that it returns.
@@ -28,23 +28,24 @@
 // readSection reads lines up to and including an empty one. A section that ends earlier fails with io.ErrUnexpectedEOF.
 func readSection(r *bufio.Reader, limits Limits) (string, error) {
 	var section strings.Builder
-	lines, newLine := 0, true
+	lines, lineBegins := 0, true
 	for {
-		part, err := r.ReadSlice('\n')
-		if err == io.EOF {
+		part, err := r.ReadSlice('\n') // a part of a line if it exceeds r's buffer
+		switch {
+		case err == io.EOF:
 			return "", io.ErrUnexpectedEOF
-		}
-		if err != nil && err != bufio.ErrBufferFull {
+		case err != nil && err != bufio.ErrBufferFull:
 			return "", err
 		}
 		section.Write(part)
-		switch {
-		case newLine && (string(part) == "\r\n" || string(part) == "\n"):
+		if lineBegins && (string(part) == "\r\n" || string(part) == "\n") {
 			return section.String(), nil
-		case err == nil:
+		}
+		lineBegins = err == nil
+		if lineBegins {
 			lines++
 		}
-		if newLine = err == nil; lines > limits.Lines || section.Len() > limits.Bytes {
+		if lines > limits.Lines || section.Len() > limits.Bytes {
 			return "", errors.Wrapf(ErrHeadTooLarge, "limits are %d bytes and %d lines", limits.Bytes, limits.Lines)
 		}
 	}
@@ -59,19 +60,19 @@
 	if err != nil {
 		return err
 	}
-	sized, coded := false, false
+	hasLength, hasCoding := false, false
 	err = checkFields(fields, func(name string) {
-		sized = sized || strings.EqualFold(name, "Content-Length")
-		coded = coded || strings.EqualFold(name, "Transfer-Encoding")
+		hasLength = hasLength || strings.EqualFold(name, "Content-Length")
+		hasCoding = hasCoding || strings.EqualFold(name, "Transfer-Encoding")
 	})
 	if err != nil {
 		return err
 	}
 	// RFC 9112, sections 6.1 and 6.3: where the body ends is uncertain.
-	if coded && sized {
+	if hasCoding && hasLength {
 		return errors.Wrap(ErrMalformed, "a length and a transfer coding")
 	}
-	if coded && minor == 0 {
+	if hasCoding && minor == 0 {
 		return errors.Wrap(ErrMalformed, "a transfer coding in HTTP/1.0")
 	}
 	return nil
