--- a/receiver/conn.go
+++ b/receiver/conn.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 )
 
-// Conn is a TCP connection on which Read returns io.EOF only if the peer has ended its side. If the connection has ended
-// otherwise, Read returns an error, each time.
+// Conn is a TCP connection on which Read returns io.EOF only if the peer has ended its side. After any other end, each Read
+// returns an error.
 //
 // The kernel reports a reset or a time-out of a connection once, to the call that asks first. If that is a Write, a concurrent
 // Read is told that the stream has ended. A response that ends with its connection would then look whole.
@@ -66,8 +66,8 @@
 	return c.writeErr
 }
 
-// peerEndedFirst reports whether the peer had ended its side before it reset the connection. The kernel then reports EPIPE
-// instead of ECONNRESET, and keeps what came before the end. The caller holds c.mu.
+// peerEndedFirst reports whether the peer had ended its side before it reset the connection. Linux then reports EPIPE instead of
+// ECONNRESET, and keeps what came before the end. The caller holds c.mu.
 func (c *Conn) peerEndedFirst() bool { return errors.Is(c.writeErr, syscall.EPIPE) }
 
 // WriteFailed reports whether a Write has failed. What the peer has sent before can still be read.
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -6,13 +6,15 @@
 	"net/http"
 	"net/http/httputil"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
-// ReadResponse reads the head of a response to a request, whose method it uses, and checks it by the grammar of HTTP/1.1. The
-// body of the response is read from r as well. It fails with io.ErrUnexpectedEOF if it ends before its announced end or within
-// its trailer section, and with ErrMalformed or ErrHeadTooLarge because of its trailer section, whose fields are dropped.
+// ReadResponse reads the head of a response to a request, of which it uses the method, and checks it by the grammar of HTTP/1.1.
+// It returns ErrMalformed, ErrHeadTooLarge, io.ErrUnexpectedEOF if r ends within the head, or an error of r.
 //
-// It returns ErrMalformed, ErrHeadTooLarge, io.ErrUnexpectedEOF, or an error of r.
+// The body of the response reads from r. Its Read fails with io.ErrUnexpectedEOF if r ends before the body, and with ErrMalformed
+// or ErrHeadTooLarge because of the trailer section, whose fields are dropped.
 func ReadResponse(r *bufio.Reader, request *http.Request, limits Limits) (*http.Response, error) {
 	head, err := readSection(r, limits)
 	if err != nil {
@@ -22,8 +24,8 @@
 		return nil, err
 	}
 	response, err := http.ReadResponse(bufio.NewReaderSize(strings.NewReader(head), len(head)), request)
-	if err != nil {
-		return nil, err
+	if err != nil { // its length or its coding is invalid
+		return nil, errors.Wrap(ErrMalformed, err.Error())
 	}
 	switch {
 	case response.Body == http.NoBody:
--- a/receiver/transport.go
+++ b/receiver/transport.go
@@ -7,9 +7,9 @@
 	"github.com/pkg/errors"
 )
 
-// Transport is an http.RoundTripper that refuses malformed responses. Its requests fail with ErrMalformed if the status or a
-// field isn't one of HTTP/1.1, and the body does because of its trailer section. It doesn't see continued lines, which net/http
-// joins as RFC 9112, section 5.2, asks of a recipient.
+// Transport is an http.RoundTripper that refuses malformed responses. RoundTrip returns ErrMalformed if HTTP/1.1 doesn't allow the
+// status or a field, and the body's Read if it doesn't allow a field of the trailer section. It doesn't see continued lines, which
+// net/http joins as RFC 9112, section 5.2, asks of a recipient.
 type Transport struct {
 	*http.Transport // set before the first request
 }
