relayer: names of the rows of malformed and early responses

Cause: read as a newcomer, two rows said chunk for a transfer coding, and the subtests' names began with a slash.

Result: both tests pass.

--- a/relayer/early_test.go
+++ b/relayer/early_test.go
@@ -47,7 +47,7 @@
 		}
 		for _, size := range []int{100 << 10, 1 << 20, 6 << 20} {
 			for _, pause := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond, 50 * time.Millisecond} {
-				t.Run(fmt.Sprintf("%s %d bytes, reset after %s", path, size, pause), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%s %d bytes, reset after %s", strings.Trim(path, "/"), size, pause), func(t *testing.T) {
 					is := is.New(t)
 					f := newFixture(t, dispatchTo("a")...)
 					retried := path == "/safe/" || path == "/resumed/"
--- a/relayer/malformed_test.go
+++ b/relayer/malformed_test.go
@@ -20,19 +20,19 @@
 		sized = "Content-Length: 5\r\n\r\nwrong"
 	)
 	responses := map[string]string{
-		"two blanks before the status":      "HTTP/1.1  200 OK\r\nLINES" + sized,
-		"control byte in the reason":        "HTTP/1.1 200 O\x01K\r\nLINES" + sized,
-		"other version":                     "HTTP/2.0 200 OK\r\nLINES" + sized,
-		"chunks of an earlier version":      "HTTP/1.0 200 OK\r\nLINESTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-		"length and chunks":                 head + "Content-Length: 20\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-		"blank before the colon of a size":  head + "Content-Length : 3\r\n\r\nwrong",
-		"blank before the colon of a chunk": head + "Transfer-Encoding : chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-		"blank before a size":               head + " Content-Length: 3\r\n\r\nwrong",
-		"blank in a failure's name":         "HTTP/1.1 500 Failed\r\nLINESX Other: 1\r\n" + sized,
-		"blank in a refusal's name":         "HTTP/1.1 503 Refused\r\nX-Not-Run: 1\r\nLINESX Other: 1\r\n" + sized,
-		"blank in an earlier head's name":   "HTTP/1.1 103 Early Hints\r\nX Other: 1\r\n\r\n" + head + sized,
-		"blank in a trailer's name":         head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nX Other: 1\r\n\r\n",
-		"control byte in a trailer":         head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nX-Other: a\x01b\r\n\r\n",
+		"two blanks before the status":       "HTTP/1.1  200 OK\r\nLINES" + sized,
+		"control byte in the reason":         "HTTP/1.1 200 O\x01K\r\nLINES" + sized,
+		"other version":                      "HTTP/2.0 200 OK\r\nLINES" + sized,
+		"coding in an earlier version":       "HTTP/1.0 200 OK\r\nLINESTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+		"length and coding":                  head + "Content-Length: 20\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+		"blank before the colon of a size":   head + "Content-Length : 3\r\n\r\nwrong",
+		"blank before the colon of a coding": head + "Transfer-Encoding : chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+		"blank before a size":                head + " Content-Length: 3\r\n\r\nwrong",
+		"blank in a failure's name":          "HTTP/1.1 500 Failed\r\nLINESX Other: 1\r\n" + sized,
+		"blank in a refusal's name":          "HTTP/1.1 503 Refused\r\nX-Not-Run: 1\r\nLINESX Other: 1\r\n" + sized,
+		"blank in an earlier head's name":    "HTTP/1.1 103 Early Hints\r\nX Other: 1\r\n\r\n" + head + sized,
+		"blank in a trailer's name":          head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nX Other: 1\r\n\r\n",
+		"control byte in a trailer":          head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nX-Other: a\x01b\r\n\r\n",
 	}
 	for _, status := range []string{"000", "001", "099", "600", "999", "20", "2000", "+20", "-20", "2 0", ""} {
 		responses["status "+status] = "HTTP/1.1 " + status + " OK\r\nLINES" + sized
