--- a/commander/operator.go
+++ b/commander/operator.go
@@ -83,8 +83,8 @@
 }
 
 func (o *operatorFlags) client() (*http.Client, string, error) {
-	transport := &http.Transport{DialContext: receiver.Dial((&net.Dialer{Timeout: operatorTimeout}).DialContext)}
-	client := &http.Client{Transport: &receiver.Transport{Transport: transport}}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: operatorTimeout}).DialContext}
+	client := receiver.NewClient(transport)
 	if o.authority == "" {
 		return client, "http", nil
 	}
--- a/generator/client.go
+++ b/generator/client.go
@@ -51,12 +51,12 @@
 
 // directClient connects without a proxy. A daemon can have a few hundred streams on one engine, and
 // connections beyond the limit on idle ones would be closed after each stream.
-var directClient = &http.Client{Transport: &receiver.Transport{Transport: &http.Transport{
-	DialContext:         receiver.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
+var directClient = receiver.NewClient(&http.Transport{
+	DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 	MaxIdleConnsPerHost: 512,
 	IdleConnTimeout:     time.Minute,
 	DisableCompression:  true,
-}}}
+})
 
 // Generate starts or resumes a stream. It returns when the engine has accepted the call, possibly long
 // before the first chunk.
--- a/lister/client.go
+++ b/lister/client.go
@@ -30,10 +30,10 @@
 
 var _ Lister = (*Client)(nil)
 
-var directClient = &http.Client{Transport: &receiver.Transport{Transport: &http.Transport{
-	DialContext:     receiver.Dial((&net.Dialer{Timeout: time.Second}).DialContext),
+var directClient = receiver.NewClient(&http.Transport{
+	DialContext:     (&net.Dialer{Timeout: time.Second}).DialContext,
 	IdleConnTimeout: time.Minute,
-}}}
+})
 
 // List is the JSON document that the platform returns.
 type List struct {
--- a/receiver/dial_test.go
+++ b/receiver/client_test.go
@@ -34,9 +34,8 @@
 			conn.Close()
 		}
 	}()
-	transport := &http.Transport{DialContext: receiver.Dial((&net.Dialer{}).DialContext)}
-	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport}
+	client := receiver.NewClient(&http.Transport{DialContext: (&net.Dialer{}).DialContext})
+	defer client.CloseIdleConnections()
 	for range 10 {
 		response, err := client.Post("http://"+listener.Addr().String(), "text/plain", strings.NewReader(strings.Repeat("x", 8<<20)))
 		if err != nil {
--- a/receiver/head.go
+++ b/receiver/head.go
@@ -124,9 +124,9 @@
 	case !httpguts.ValidHeaderFieldName(name):
 		return errors.Wrapf(ErrMalformed, "field name %.80q", name)
 	case !httpguts.ValidHeaderFieldValue(value):
-		return errors.Wrapf(ErrMalformed, "value %.80q of field %s", value, name)
+		return errors.Wrapf(ErrMalformed, "value %.80q of field %.80s", value, name)
 	case strings.Contains(value, httpVersionPrefix) && !strings.EqualFold(name, "Via"): // Via names protocols
-		return errors.Wrapf(ErrMalformed, "field %s contains another response", name)
+		return errors.Wrapf(ErrMalformed, "field %.80s contains another response", name)
 	}
 	return nil
 }
--- a/receiver/transport.go
+++ b/receiver/transport.go
@@ -7,15 +7,13 @@
 	"github.com/pkg/errors"
 )
 
-// Transport is an http.RoundTripper that refuses malformed responses. RoundTrip returns ErrMalformed if HTTP/1.1 doesn't allow the
-// status or a field, and the body's Read if it doesn't allow a field of the trailer section. It doesn't see continued lines, which
-// net/http joins as RFC 9112, section 5.2, asks of a recipient.
-type Transport struct {
-	*http.Transport // set before the first request
-}
+// checkedTransport is an http.RoundTripper that refuses malformed responses. RoundTrip returns ErrMalformed if HTTP/1.1 doesn't
+// allow the status or a field, and the body's Read if it doesn't allow a field of the trailer section. It doesn't see continued
+// lines, which net/http joins as RFC 9112, section 5.2, asks of a recipient.
+type checkedTransport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
-func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+func (t *checkedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	response, err := t.Transport.RoundTrip(request)
 	if err != nil {
 		return nil, err
--- a/relayer/cuthead_test.go
+++ b/relayer/cuthead_test.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"apricotspool/matcher"
 )
 
 // cutHeads returns responses, in the middle of which an endpoint stops.
@@ -48,9 +46,7 @@
 				t.Parallel()
 				is := is.New(t)
 				f := newFixture(t)
-				table := *f.relayer.Table()
-				table.Limits.BodyBytes = 1 << 20
-				f.relayer.Table = func() *matcher.Table { return &table }
+				f.acceptUploads(1 << 20)
 				var script atomic.Pointer[func(in *bufio.Reader, out net.Conn)]
 				f.targets["a"] = rawEndpoint(t, func(in *bufio.Reader, out net.Conn) { (*script.Load())(in, out) })
 				f.endpoint("b", func(w http.ResponseWriter, r *http.Request) {
--- a/relayer/promise_test.go
+++ b/relayer/promise_test.go
@@ -14,7 +14,6 @@
 	"github.com/matryer/is"
 
 	"apricotspool/forwarder"
-	"apricotspool/matcher"
 )
 
 // Guards against a status that promises "not run" for a request that an endpoint has run: the endpoint's own status was
@@ -45,9 +44,7 @@
 				t.Run(fmt.Sprintf("%s %s %d bytes", name, route, size), func(t *testing.T) {
 					is := is.New(t)
 					f := newFixture(t, dispatchTo("a")...)
-					table := *f.relayer.Table()
-					table.Limits.BodyBytes = 1 << 20
-					f.relayer.Table = func() *matcher.Table { return &table }
+					f.acceptUploads(1 << 20)
 					var ran atomic.Bool
 					f.targets["a"] = rawEndpoint(t, func(in *bufio.Reader, out net.Conn) {
 						r, err := http.ReadRequest(in)
